--- /dev/null
+++ b/packages/mdconf/mdconf/__init__.py
@@ -0,0 +1,1 @@
+"""Core: the manifest register on disk, and the operators' calls."""
--- /dev/null
+++ b/packages/mdconf/mdconf/part.py
@@ -0,0 +1,565 @@
+"""mdconf: a member of the register, and the door for operators."""
+
+from __future__ import annotations
+
+import hmac
+import json
+from dataclasses import dataclass, field
+
+import ormsgpack
+import trio
+from returns.pipeline import is_successful
+
+from mdconf.store import Store
+from mdhttp import Reply, Table, TooLarge
+from mdmanifest import SIZE_MAX, assemble, checked, cut, difference
+from mdregister import Lost, NoMajority, Proposer, Unclear
+from mdseam import MILLI, SECOND, fingerprint, now, rest, until
+from mdwire import Breakdown, Handlers, Shed
+
+HEAD = "manifest/head"
+HISTORY = 256
+OPERATE = 5 * SECOND
+STAGE_WAIT = 900 * MILLI
+NO_HEAD = {"version": 0, "ranges": [], "plan": "", "history": []}
+EMPTY = {"services": [], "budgets": [], "ways": [], "load": {}}
+
+
+class Outdated(Exception):
+    def __init__(self, head):
+        super().__init__("outdated")
+        self.head = head
+
+
+@dataclass
+class Reading:
+    """A majority read that others may share. Invariant: shared only by those that came before it
+    began, so each gets a value at least as new as when it asked."""
+
+    done: trio.Event = field(default_factory=trio.Event)
+    outcome: object = None
+
+
+class Part:
+    table = Table()
+    handlers = Handlers()
+
+    def __init__(self, node):
+        self.node = node
+        self.store = Store(node.seams.disk, node.seams.rng, node.log)
+        self.proposer = None
+        self.head = NO_HEAD  # the newest known here
+        self.next_reading = None
+        self.reading = False
+        self.no_majority = False
+        self.rosters = {}
+
+    def answers(self):
+        return Part.handlers.bound(self)
+
+    async def begin(self):
+        await self.store.load()
+        self.proposer = Proposer(
+            f"{self.store.disk}:{self.node.incarnation}",
+            lambda: list(self.store.record["voters"]) if self.store.record else [],
+            self.ask,
+            self.node.seams.rng,
+            self.node.nursery,
+        )
+
+    def loops(self):
+        return {"members": self.members_loop, "head": self.head_loop, "roster": self.roster_loop}
+
+    def not_ready(self):
+        if self.store.record is None:
+            return ["the register isn't founded, or its members aren't known yet"]
+        return [
+            *([] if self.store.voter else ["this disk is no member"]),
+            *(["no majority of the register answers"] if self.no_majority else []),
+        ]
+
+    # ------------------------------------------------------------ the register's members
+
+    async def members_loop(self):
+        """Wanted: every founding member holds the same record. The lowest address founds, once,
+        and only when all are reachable and blank; a disk that comes later stays outside."""
+        while True:
+            told = await self.node.links.call_all(
+                {
+                    a: (a, "member.hello", None)
+                    for a in self.node.boot.members
+                    if a != self.node.boot.link
+                },
+                now() + SECOND,
+            )
+            answers = {a: t for a, t in told.items() if not isinstance(t, Exception)}
+            records = [t["record"] for t in answers.values() if t["record"]]
+            newest = max(records, key=lambda r: r["version"], default=None)
+            if newest is not None:
+                await self.store.adopt(newest)
+            elif (
+                self.store.record is None
+                and self.founder()
+                and len(answers) + 1 == len(self.node.boot.members)
+            ):
+                voters = {t["disk"]: a for a, t in answers.items()}
+                voters[self.store.disk] = self.node.boot.link
+                await self.store.adopt({"version": 1, "voters": voters})
+                self.node.log(601, members=sorted(voters.values()))
+            await rest(SECOND if self.store.record else 200 * MILLI)
+
+    def founder(self):
+        return self.node.boot.link == min(self.node.boot.members)
+
+    @handlers.on("member.hello")
+    async def on_hello(self, peer, _):
+        return {"disk": self.store.disk, "record": self.store.record}
+
+    async def ask(self, member, method, args, due):
+        """One member's answer, over its link or from this very process."""
+        record = self.store.record
+        if member == self.store.disk:
+            return await self.answer(record["version"], member, method, args)
+        return await self.node.links.call(
+            record["voters"][member], "register", [record["version"], member, method, args], due
+        )
+
+    @handlers.on("register")
+    async def on_register(self, peer, args):
+        return await self.answer(*args)
+
+    async def answer(self, version, member, method, args):
+        store = self.store
+        if member != store.disk or not store.voter:
+            raise Shed("other_member", disk=store.disk)
+        if version < store.record["version"]:
+            raise Shed("old_members", record=store.record)
+        try:
+            if method == "prepare":
+                return await store.keeper.prepare(args[0], tuple(args[1]))
+            if method == "write":
+                return await store.keeper.write(args[0], tuple(args[1]), args[2])
+            return store.keeper.read(args[0])
+        except Lost:
+            raise Shed("lost_key") from None
+        except OSError as cause:
+            raise Shed("disk", cause=str(cause)) from None
+
+    # ------------------------------------------------------------ the head
+
+    async def read_head(self, due):
+        """A majority read. Those that ask while one is under way share the next."""
+        if not self.store.record:
+            raise NoMajority(HEAD)
+        if self.next_reading is None:
+            self.next_reading = Reading()
+            self.node.nursery.start_soon(self.read_next, self.next_reading)
+        reading = self.next_reading
+        with until(due):
+            await reading.done.wait()
+        if reading.outcome is None:
+            raise NoMajority(HEAD)
+        if isinstance(reading.outcome, Exception):
+            raise reading.outcome
+        return reading.outcome
+
+    async def read_next(self, reading):
+        while self.reading:
+            await self.reading.wait()
+        self.reading, self.next_reading = trio.Event(), None
+        try:
+            head = await self.proposer.read(HEAD, now() + 800 * MILLI) or NO_HEAD
+            self.know(head)
+            reading.outcome = head
+            self.no_majority = False
+        except (NoMajority, Unclear) as cause:
+            reading.outcome = NoMajority(str(cause))
+            if not self.no_majority:
+                self.node.log(603, members=len(self.proposer.members()))
+            self.no_majority = True
+        finally:
+            ended, self.reading = self.reading, False
+            ended.set()
+            reading.done.set()
+
+    def know(self, head):
+        if head["version"] > self.head["version"]:
+            self.head = head
+            self.node.view.bump(version=head["version"])
+
+    async def head_loop(self):
+        """Keeps the head known, and this member's range files whole."""
+        while True:
+            if self.store.record:
+                try:
+                    await self.mend(await self.read_head(now() + SECOND))
+                except NoMajority:
+                    pass
+            await rest(SECOND)
+
+    async def mend(self, head):
+        names = [*head["ranges"], *([head["plan"]] if head["plan"] else [])]
+        if getattr(self, "mended", None) == head["version"]:
+            return
+        missing = await self.store.missing(names)
+        if missing:
+            bodies = await self.fetch(missing)
+            for body in bodies.values():
+                await self.store.put_blob(body)
+                self.node.log(606, blob=fingerprint(body))
+            if len(bodies) < len(missing):
+                return
+        self.mended = head["version"]
+
+    @handlers.on("manifest.head")
+    async def on_head(self, peer, known):
+        try:
+            head = await self.read_head(now() + SECOND)
+        except NoMajority:
+            raise Shed("no_majority") from None
+        if head["version"] <= known:
+            return {"version": head["version"]}
+        return {"version": head["version"], "ranges": head["ranges"]}
+
+    @handlers.on("duty.claim")
+    async def on_claim(self, peer, claim):
+        def make(old):
+            if old is not None and old["holder"] == claim["holder"]:
+                return old
+            return {"epoch": (old["epoch"] if old else 0) + 1, "holder": claim["holder"]}
+
+        if not self.store.record:
+            raise Shed("no_majority")
+        try:
+            made = await self.proposer.change(f"duty/{claim['key']}", make, now() + 900 * MILLI)
+        except (NoMajority, Unclear):
+            raise Shed("no_majority") from None
+        if made["holder"] != claim["holder"]:
+            raise Shed("held_by_another", epoch=made["epoch"])
+        return {"epoch": made["epoch"]}
+
+    # ------------------------------------------------------------ range files
+
+    @handlers.on("blob.get")
+    async def on_get(self, peer, names):
+        bodies = {name: await self.store.blob(name) for name in names}
+        return {name: body for name, body in bodies.items() if body is not None}
+
+    @handlers.on("blob.missing")
+    async def on_missing(self, peer, names):
+        return await self.store.missing(names)
+
+    @handlers.on("blob.put")
+    async def on_put(self, peer, bodies):
+        return [await self.store.put_blob(bytes(body)) for body in bodies]
+
+    def others(self):
+        return [a for d, a in self.store.record["voters"].items() if d != self.store.disk]
+
+    async def fetch(self, names):
+        """{name: body} of range files, from here or from other members."""
+        found = {}
+        for name in names:
+            body = await self.store.blob(name)
+            if body is not None:
+                found[name] = body
+        for address in self.others():
+            missing = [name for name in names if name not in found]
+            for start in range(0, len(missing), 64):
+                try:
+                    told = await self.node.links.call(
+                        address, "blob.get", missing[start : start + 64], now() + 2 * SECOND
+                    )
+                except (Breakdown, Shed):
+                    break
+                found.update((n, bytes(b)) for n, b in told.items() if fingerprint(bytes(b)) == n)
+        return found
+
+    async def spread(self, bodies, due):
+        """Put range files on every member that answers; raises NoMajority unless a majority
+        holds them all."""
+        names, held = list(bodies), 0
+
+        async def one(address):
+            nonlocal held
+            try:
+                missing = await self.node.links.call(address, "blob.missing", names, due)
+                for start in range(0, len(missing), 64):
+                    put = [bodies[name] for name in missing[start : start + 64]]
+                    await self.node.links.call(address, "blob.put", put, due)
+                held += 1
+            except (Breakdown, Shed):
+                pass
+
+        async def here():
+            nonlocal held
+            try:
+                for body in bodies.values():
+                    await self.store.put_blob(body)
+                held += 1 if self.store.voter else 0
+            except OSError:
+                pass
+
+        with until(due):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(here)
+                for address in self.others():
+                    nursery.start_soon(one, address)
+        if held < self.proposer.majority():
+            raise NoMajority("range files")
+
+    async def manifest_of(self, ranges):
+        bodies = await self.fetch(sorted(set(ranges)))
+        if len(bodies) < len(set(ranges)):
+            raise NoMajority("range files")
+        return await trio.to_thread.run_sync(lambda: assemble(bodies[name] for name in ranges))
+
+    # ------------------------------------------------------------ operators
+
+    def denied(self, request):
+        key = self.node.boot.operator_key
+        given = request.header(b"authorization") or ""
+        if key is None or hmac.compare_digest(given.encode(), f"Bearer {key}".encode()):
+            return None
+        return Reply(401, {"code": "operator_unknown"})
+
+    @table.on("POST", "/plan")
+    async def plan(self, request):
+        return self.denied(request) or await self.operate(self.make_plan, request)
+
+    @table.on("POST", "/confirm")
+    async def confirm(self, request):
+        return self.denied(request) or await self.operate(self.make_confirm, request)
+
+    @table.on("GET", "/plan/*")
+    async def settle(self, request):
+        return self.denied(request) or await self.operate(self.make_settle, request)
+
+    @table.on("GET", "/manifest")
+    async def read_back(self, request):
+        return self.denied(request) or await self.operate(self.make_read_back, request)
+
+    @table.on("GET", "/status")
+    async def status(self, request):
+        return self.denied(request) or Reply(200, await self.make_status())
+
+    async def operate(self, work, request):
+        if not self.store.record:
+            return Reply(503, {"code": "not_founded"}, [(b"retry-after", b"1")])
+        try:
+            return await work(request)
+        except TooLarge:
+            return Reply(413, {"code": "too_large", "errors": [f"over {SIZE_MAX} bytes"]})
+        except NoMajority:
+            detail = "too few members of the register answer; nothing was changed"
+            return Reply(503, {"code": "no_majority", "detail": detail}, [(b"retry-after", b"1")])
+        except Unclear:
+            detail = "the change may have been made; ask about the plan"
+            return Reply(504, {"code": "unclear", "detail": detail})
+
+    async def make_plan(self, request):
+        data = await request.body(SIZE_MAX)
+        found = await trio.to_thread.run_sync(checked, data)
+        if not is_successful(found):
+            return Reply(422, {"code": "invalid", "errors": found.failure()})
+        facts = found.unwrap()
+        head = await self.read_head(now() + OPERATE)
+        old = await self.manifest_of(head["ranges"]) if head["ranges"] else EMPTY
+        ranges = await trio.to_thread.run_sync(cut, facts)
+        changes = difference(old, facts)
+        names = [name for name, _ in ranges]
+        if names == head["ranges"]:
+            return Reply(200, {"plan": None, "base": head["version"], "changes": changes})
+        body = ormsgpack.packb({"base": head["version"], "ranges": names})
+        plan = fingerprint(body)
+        await self.spread({**dict(ranges), plan: body}, now() + 2 * OPERATE)
+        self.node.log(604, plan=plan, base=head["version"])
+        return Reply(
+            200,
+            {
+                "plan": plan,
+                "base": head["version"],
+                "changes": changes,
+                "takes_effect": "once confirmed: staged on every reachable proxy, then switched, "
+                "within about 2 s; a proxy that is cut off follows when it is back",
+            },
+        )
+
+    async def plan_facts(self, plan):
+        bodies = await self.fetch([plan])
+        return ormsgpack.unpackb(bodies[plan]) if plan in bodies else None
+
+    async def make_confirm(self, request):
+        try:
+            plan = json.loads(await request.body(65536))["plan"]
+        except (ValueError, KeyError, TypeError):
+            return Reply(400, {"code": "malformed"})
+        facts = await self.plan_facts(plan) if is_fingerprint(plan) else None
+        if facts is None:
+            return Reply(404, {"code": "plan_unknown"})
+        due = now() + OPERATE
+
+        def make(old):
+            head = old or NO_HEAD
+            if applied(head, plan):
+                return head
+            if head["version"] != facts["base"]:
+                raise Outdated(head)
+            version = head["version"] + 1
+            return {
+                "version": version,
+                "ranges": facts["ranges"],
+                "plan": plan,
+                "history": [*head["history"], [version, plan]][-HISTORY:],
+            }
+
+        bodies = await self.fetch([*sorted(set(facts["ranges"])), plan])
+        if len(bodies) < len({*facts["ranges"], plan}):
+            raise NoMajority("range files")
+        await self.spread(bodies, due)
+        try:
+            head = await self.proposer.change(HEAD, make, due)
+        except Outdated as outdated:
+            return await self.outdated(plan, facts, outdated.head)
+        self.know(head)
+        version = applied(head, plan)
+        self.node.log(605, plan=plan, version=version)
+        self.node.nursery.start_soon(self.deliver, head)
+        return Reply(200, {"state": "confirmed", "plan": plan, "version": version})
+
+    async def outdated(self, plan, facts, head):
+        base = await self.version_ranges(head, facts["base"])
+        changed = None
+        if base is not None:
+            old = await self.manifest_of(base) if base else EMPTY
+            changed = difference(old, await self.manifest_of(head["ranges"]))
+        return Reply(
+            409,
+            {
+                "code": "outdated",
+                "plan": plan,
+                "base": facts["base"],
+                "head": head["version"],
+                "changed_since": changed,
+            },
+        )
+
+    async def version_ranges(self, head, version):
+        if version == 0:
+            return []
+        plan = next((p for v, p in head["history"] if v == version), None)
+        facts = await self.plan_facts(plan) if plan else None
+        return facts["ranges"] if facts else None
+
+    async def make_settle(self, request):
+        plan = request.path.rpartition("/")[2]
+        facts = await self.plan_facts(plan) if is_fingerprint(plan) else None
+        if facts is None:
+            return Reply(404, {"code": "plan_unknown"})
+        # a whole round under a new ballot: whatever was under way is in it, or never will be
+        head = await self.proposer.change(HEAD, lambda old: old, now() + OPERATE) or NO_HEAD
+        version = applied(head, plan)
+        state = (
+            "confirmed" if version else "open" if head["version"] == facts["base"] else "outdated"
+        )
+        return Reply(
+            200,
+            {
+                "plan": plan,
+                "state": state,
+                "version": version,
+                "base": facts["base"],
+                "head": head["version"],
+            },
+        )
+
+    async def make_read_back(self, request):
+        head = await self.read_head(now() + OPERATE)
+        facts = await self.manifest_of(head["ranges"]) if head["ranges"] else EMPTY
+        return Reply(200, {"version": head["version"], "plan": head["plan"], "manifest": facts})
+
+    async def make_status(self):
+        try:
+            head, majority = await self.read_head(now() + SECOND), True
+        except NoMajority:
+            head, majority = self.head, False
+        record = self.store.record or {"version": 0, "voters": {}}
+        hello = await self.node.links.call_all(
+            {a: (a, "member.hello", None) for a in self.others()} if self.store.record else {},
+            now() + 500 * MILLI,
+        )
+        await self.refresh_rosters()
+        proxies = {}
+        for roster in self.rosters.values():
+            for address, beat in roster["proxies"].items():
+                if (
+                    address not in proxies
+                    or beat["heard_us_ago"] < proxies[address]["heard_us_ago"]
+                ):
+                    proxies[address] = beat
+        return {
+            "head": head["version"],
+            "majority": majority,
+            "members": {
+                a: {
+                    "disk": d,
+                    "answers": d == self.store.disk
+                    or isinstance(hello.get(a), dict)
+                    and hello[a]["disk"] == d,
+                }
+                for d, a in record["voters"].items()
+            },
+            "lost_keys_here": self.store.keeper.lost(),
+            "regs": {
+                a: {k: r[k] for k in ("collector", "seen_epoch", "regs", "last")}
+                for a, r in self.rosters.items()
+            },
+            "proxies": {
+                a: {
+                    k: b[k]
+                    for k in ("hall", "incarnation", "version", "cut_off", "endpoints", "counts")
+                }
+                for a, b in sorted(proxies.items())
+            },
+        }
+
+    # ------------------------------------------------------------ delivery
+
+    async def roster_loop(self):
+        while True:
+            await self.refresh_rosters()
+            await rest(SECOND)
+
+    async def refresh_rosters(self):
+        told = await self.node.links.call_all(
+            {a: (a, "reg.roster", None) for a in self.node.view.core("mdreg")}, now() + 500 * MILLI
+        )
+        self.rosters = {a: t for a, t in told.items() if not isinstance(t, Exception)}
+
+    async def deliver(self, head):
+        """Staged everywhere first, then switched close together. Who misses it asks by itself."""
+        proxies = sorted({a for r in self.rosters.values() for a in r["proxies"]})
+        news = {"version": head["version"], "ranges": head["ranges"]}
+        await self.node.links.call_all(
+            {a: (a, "manifest.stage", news) for a in proxies}, now() + STAGE_WAIT
+        )
+        await self.node.links.call_all(
+            {a: (a, "manifest.switch", head["version"]) for a in proxies}, now() + STAGE_WAIT
+        )
+
+    # ------------------------------------------------------------ stop
+
+    async def leaving(self):
+        pass
+
+    async def drained(self):
+        pass
+
+
+def applied(head, plan):
+    """The version that the plan became, or 0."""
+    return next((v for v, p in head["history"] if p == plan), 0)
+
+
+def is_fingerprint(text):
+    return isinstance(text, str) and len(text) == 32 and set(text) <= set("0123456789abcdef")
--- /dev/null
+++ b/packages/mdctl/mdctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command line."""
--- /dev/null
+++ b/packages/mdctl/mdctl/__main__.py
@@ -0,0 +1,125 @@
+"""mdctl: say what is wanted, read the plan, confirm it.
+
+Exit status: 0 done; 1 refused; 2 wrong usage; 3 unclear (ask with `mdctl settle PLAN`).
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+import time
+
+import fire
+from returns.pipeline import is_successful
+
+from mdboot import VERSION
+from mdctl.client import Unclear, Unreachable, ask
+from mdmanifest import checked
+
+REFUSED, USAGE, UNCLEAR = 1, 2, 3
+
+
+class Ctl:
+    """Operators' calls to the mesh. CORE lists mdconf addresses, ip:port, divided by commas
+    (or the environment's MD_CORE); KEY_FILE holds the operators' key, if the core wants one."""
+
+    def __init__(self, core=None, key_file=None):
+        core = core or os.environ.get("MD_CORE", "")
+        self._cores = core.split(",") if isinstance(core, str) else [str(c) for c in core]
+        self._key = _read(key_file).decode("ascii").strip() if key_file else None
+
+    def plan(self, file):
+        """Hand in a manifest (a file, or - for standard input); prints what would change."""
+        _print(self._ask("POST", "/plan", _read(file)))
+
+    def confirm(self, plan, wait=False):
+        """Put a plan in force. With --wait: until every live proxy has it, or 10 s."""
+        facts = self._ask("POST", "/confirm", json.dumps({"plan": str(plan)}).encode(), str(plan))
+        _print(facts)
+        if wait:
+            self._wait(facts["version"])
+
+    def settle(self, plan):
+        """What became of a plan: open, confirmed or outdated. Final once it answers."""
+        _print(self._ask("GET", f"/plan/{plan}"))
+
+    def get(self):
+        """Read back the manifest, from a majority of the register."""
+        _print(self._ask("GET", "/manifest"))
+
+    def status(self):
+        """The register's members, the proxies and their versions, endpoints, the collector."""
+        _print(self._ask("GET", "/status"))
+
+    def check(self, file):
+        """Check a manifest without any mesh; lists every error."""
+        found = checked(_read(file))
+        if not is_successful(found):
+            _print({"code": "invalid", "errors": found.failure()})
+            sys.exit(REFUSED)
+        _print({"good": True, "ways": len(found.unwrap()["ways"])})
+
+    def version(self):
+        """Print the version."""
+        print(f"mdctl {VERSION}")
+
+    def _ask(self, method, path, body=b"", plan=None):
+        if not any(self._cores):
+            print("mdctl: say where the core is: --core=IP:PORT,... or MD_CORE", file=sys.stderr)
+            sys.exit(USAGE)
+        hint = f"mdctl settle {plan}" if plan else "ask again"
+        try:
+            status, facts = ask(self._cores, method, path, body, self._key)
+        except Unreachable as cause:
+            _print({"code": "unreachable", "detail": f"nothing was sent to {cause}"})
+            sys.exit(REFUSED)
+        except Unclear as cause:
+            _print({"code": "unclear", "detail": str(cause), "next": hint})
+            sys.exit(UNCLEAR)
+        if status == 504:
+            _print({**facts, "next": hint})
+            sys.exit(UNCLEAR)
+        if status != 200:
+            _print(facts)
+            sys.exit(REFUSED)
+        return facts
+
+    def _wait(self, version):
+        begun = time.monotonic()
+        while time.monotonic() - begun < 10:
+            proxies = self._ask("GET", "/status")["proxies"]
+            behind = sorted(a for a, p in proxies.items() if p["version"] < version)
+            if not behind:
+                _print({"in_force": version, "proxies": len(proxies)})
+                return
+            time.sleep(0.2)
+        _print({"code": "behind", "proxies": behind})
+        sys.exit(REFUSED)
+
+
+def _read(file):
+    if file == "-":
+        return sys.stdin.buffer.read()
+    try:
+        with open(file, "rb") as kept:
+            return kept.read()
+    except OSError as cause:
+        print(f"mdctl: {cause}", file=sys.stderr)
+        sys.exit(USAGE)
+
+
+def _print(facts):
+    print(json.dumps(facts, indent=2))
+
+
+def main():
+    os.environ.setdefault("PAGER", "cat")
+    if sys.argv[1:] == ["--version"]:
+        Ctl().version()
+        return
+    fire.Fire(Ctl, name="mdctl")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/mdfleet/mdfleet/__main__.py
@@ -0,0 +1,61 @@
+"""mdfleet: a whole deployment on this machine, on 127.0.0.0/8 addresses."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import threading
+
+import fire
+
+from mdboot import VERSION
+from mdfleet.fleet import Fleet, load_topology
+from mdfleet.report import summary, table
+
+
+class Commands:
+    """TOPOLOGY is himal, sanad, or a file."""
+
+    def up(self, topology, folder="run"):
+        """Start everything, configure it, and stay until interrupted; then end it all."""
+        fleet = Fleet(load_topology(topology), os.path.abspath(folder))
+        try:
+            version = fleet.whole()
+            print(
+                f"{topology} is up at version {version}; facts in {folder}/fleet.json", flush=True
+            )
+            print(f"export MD_CORE={','.join(fleet.conf_http)}", flush=True)
+            wait_for_signal()
+        finally:
+            fleet.down()
+
+    def load(self, topology, seconds=20, rate=1.0, folder="run"):
+        """Start everything, serve the topology's load for a while, print what was seen."""
+        fleet = Fleet(load_topology(topology), os.path.abspath(folder))
+        try:
+            fleet.whole()
+            for handle in fleet.start_callers(seconds, rate_factor=rate):
+                handle.wait()
+            print(table(summary(fleet.rows(), seconds)))
+        finally:
+            fleet.down()
+
+
+def wait_for_signal():
+    asked = threading.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: asked.set())
+    asked.wait()
+
+
+def main():
+    os.environ.setdefault("PAGER", "cat")
+    if sys.argv[1:] == ["--version"]:
+        print(f"mdfleet {VERSION}")
+        return
+    fire.Fire(Commands, name="mdfleet")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/mdfleet/mdfleet/caller.py
@@ -0,0 +1,90 @@
+"""Stand-in callers: arrivals come when they come (open loop), whatever the answers do.
+
+Each line of the report is one call: stream, machine, intended time, how long from then to the
+answer, outcome code, verdict. The report is written at the end.
+"""
+
+from __future__ import annotations
+
+import itertools
+import json
+import random
+import signal
+import sys
+
+import trio
+from returns.pipeline import is_successful
+
+from mdlib import Client
+from mdseam import SECOND, now, rest
+
+
+class Callers:
+    def __init__(self, spec):
+        self.spec = spec
+        self.rows = []
+        self.rng = random.Random(spec["seed"])
+        self.numbers = itertools.count(1)
+        self.stop = trio.Event()
+        self.zero = now()
+
+    async def one(self, client, stream, proxy, intended):
+        key = f"{self.spec['seed']}-{next(self.numbers)}" if stream.get("keyed") else None
+        body = {"amount": 1} if stream["method"] == "POST" else None
+        found = await client.call(stream["method"], stream["path"], body, key=key)
+        took = now() - intended
+        if is_successful(found):
+            code, verdict = str(found.unwrap().status), "ran"
+        else:
+            code, verdict = found.failure().code, found.failure().verdict.value
+        self.rows.append([stream["name"], proxy, intended - self.zero, took, code, verdict, key])
+
+    async def arrivals(self, stream, proxy, rate, token):
+        """Poisson arrivals for one stream at one machine."""
+        host = proxy.rpartition(":")[0]
+        client = Client(proxy, token, local=host, connections=400)
+        intended = now()
+        async with trio.open_nursery() as nursery:
+            while not self.stop.is_set():
+                factor = self.factor(stream, now() - self.zero)
+                gap = self.rng.expovariate(max(rate * factor, 0.001)) * SECOND
+                intended += int(gap)
+                with trio.move_on_at(intended / SECOND):
+                    await self.stop.wait()
+                if not self.stop.is_set():
+                    nursery.start_soon(self.one, client, stream, proxy, intended)
+        await client.close()
+
+    def factor(self, stream, at):
+        """Rate multipliers over time: [[from_us, to_us, stream, factor], ...]."""
+        return next(
+            (
+                factor
+                for start, end, name, factor in self.spec.get("surges", [])
+                if name == stream["name"] and start <= at < end
+            ),
+            1.0,
+        )
+
+    async def run(self):
+        async with trio.open_nursery() as nursery:
+            for stream, proxy, rate, token in self.spec["arrivals"]:
+                nursery.start_soon(self.arrivals, stream, proxy, rate, token)
+            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+                with trio.move_on_after(self.spec["seconds"]):
+                    async for _ in received:
+                        break
+            self.stop.set()
+        with open(self.spec["report"], "w", encoding="utf-8") as report:
+            json.dump(self.rows, report)
+        await rest(0)
+
+
+async def main(spec):
+    await Callers(spec).run()
+
+
+if __name__ == "__main__":
+    with open(sys.argv[1], encoding="utf-8") as file:
+        SPEC = json.load(file)
+    trio.run(main, SPEC)
--- /dev/null
+++ b/packages/mdfleet/mdfleet/fleet.py
@@ -0,0 +1,272 @@
+"""Starts and stops a whole deployment. Ends only processes that it started."""
+
+from __future__ import annotations
+
+import json
+import os
+import secrets
+import shutil
+import signal
+import subprocess
+import sys
+import time
+import tomllib
+import urllib.error
+import urllib.request
+from dataclasses import dataclass, field
+
+HERE = os.path.join(os.path.dirname(__file__), "topologies")
+
+
+@dataclass
+class Process:
+    name: str
+    argv: list
+    handle: subprocess.Popen
+    log: str
+
+
+@dataclass
+class Fleet:
+    """Invariant: every process under way that this fleet started is in processes."""
+
+    topology: dict
+    folder: str
+    processes: dict = field(default_factory=dict)
+    tokens: dict = field(default_factory=dict)
+
+    # ------------------------------------------------------------ facts
+
+    @property
+    def core(self):
+        return list(self.topology["core"])
+
+    @property
+    def application(self):
+        return self.topology["application"]
+
+    @property
+    def conf_http(self):
+        return [f"{host}:7420" for host in self.core]
+
+    def hall(self, host):
+        return self.topology["core"].get(host) or self.application[host][0]
+
+    def hosts_of(self, service):
+        return [host for host, facts in self.application.items() if facts[1] == service]
+
+    # ------------------------------------------------------------ processes
+
+    def spawn(self, name, argv, stdout=None):
+        log = os.path.join(self.folder, "logs", f"{name}.log")
+        with open(log, "a", encoding="utf-8") as out:
+            handle = subprocess.Popen(
+                [sys.executable, "-m", *argv],
+                stdin=subprocess.DEVNULL,
+                stdout=stdout or out,
+                stderr=out,
+                start_new_session=True,
+            )
+        self.processes[name] = Process(name, argv, handle, log)
+        return handle
+
+    def boot(self, role, host):
+        path = os.path.join(self.folder, "boot", f"{role}-{host}.toml")
+        seeds = [f"{h}:7411" for h in self.core[:3]]
+        lines = [
+            f'host = "{host}"',
+            f'hall = "{self.hall(host)}"',
+            f"seeds = {json.dumps(seeds)}",
+            f"fleet_key_file = {json.dumps(os.path.join(self.folder, 'fleet.key'))}",
+            f"nodes_expected = {len(self.application)}",
+        ]
+        if role == "mdconf":
+            lines += [
+                f"data = {json.dumps(os.path.join(self.folder, 'data', host))}",
+                f"members = {json.dumps([f'{h}:7421' for h in self.core])}",
+            ]
+        with open(path, "w", encoding="utf-8") as file:
+            file.write("\n".join(lines) + "\n")
+        return path
+
+    def start_daemon(self, role, host):
+        return self.spawn(f"{role}-{host}", [role, "run", "--boot", self.boot(role, host)])
+
+    def start_endpoint(self, host, port=8000):
+        _, service, capacity, mean_us = self.application[host]
+        name = f"endpoint-{host}-{port}"
+        spec = {
+            "service": service,
+            "address": f"{host}:{port}",
+            "proxy": f"{host}:7400",
+            "incarnation": secrets.token_hex(6),
+            "capacity": capacity,
+            "mean_us": mean_us,
+            "seed": f"{self.topology['name']}{host}{port}",
+            "journal": os.path.join(self.folder, f"journal-{host}-{port}.jsonl"),
+        }
+        handle = self.spawn(name, ["mdfleet.standin", json.dumps(spec)], subprocess.PIPE)
+        return name, handle
+
+    def up(self):
+        shutil.rmtree(self.folder, ignore_errors=True)
+        for part in ("boot", "logs", "data"):
+            os.makedirs(os.path.join(self.folder, part))
+        with open(os.path.join(self.folder, "fleet.key"), "w", encoding="ascii") as key:
+            key.write(secrets.token_hex(32))
+        os.chmod(key.name, 0o600)
+        for host in self.core:
+            self.start_daemon("mdreg", host)
+            self.start_daemon("mdconf", host)
+        for host in self.application:
+            self.start_daemon("mdproxy", host)
+        self.wait_ready(self.conf_http)
+
+    def configure(self, manifest=None):
+        """Plan and confirm by mdctl, as an operator would; gives the version."""
+        manifest = manifest or os.path.join(HERE, self.topology["manifest"])
+        planned = self.ctl("plan", manifest)
+        if planned["plan"] is None:
+            return planned["base"]
+        return self.ctl("confirm", planned["plan"])["version"]
+
+    def ctl(self, *words):
+        found = subprocess.run(
+            [sys.executable, "-m", "mdctl", f"--core={','.join(self.conf_http)}", *words],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        if found.returncode:
+            raise RuntimeError(f"mdctl {words}: {found.stdout}{found.stderr}")
+        return json.loads(found.stdout)
+
+    def endpoints_up(self):
+        started = {host: self.start_endpoint(host) for host in self.application}
+        for host, (_, handle) in started.items():
+            self.tokens[host] = json.loads(handle.stdout.readline())["token"]
+
+    def wait_ready(self, addresses, seconds=30):
+        until = time.monotonic() + seconds
+        waiting = set(addresses)
+        while waiting:
+            waiting = {a for a in waiting if ready(a) is not True}
+            if time.monotonic() > until:
+                raise TimeoutError(f"not ready: {sorted(waiting)}")
+            if waiting:
+                time.sleep(0.1)
+
+    def whole(self, manifest=None):
+        """Everything up, configured and serving."""
+        self.up()
+        version = self.configure(manifest)
+        self.wait_ready([f"{host}:7400" for host in self.application])
+        self.endpoints_up()
+        self.note()
+        return version
+
+    def note(self):
+        facts = {
+            "topology": self.topology["name"],
+            "core": self.conf_http,
+            "proxies": {h: f"{h}:7400" for h in self.application},
+            "halls": {h: self.hall(h) for h in [*self.core, *self.application]},
+            "tokens": self.tokens,
+            "processes": {
+                name: {"pid": p.handle.pid, "argv": p.argv} for name, p in self.processes.items()
+            },
+        }
+        with open(os.path.join(self.folder, "fleet.json"), "w", encoding="utf-8") as file:
+            json.dump(facts, file, indent=1)
+
+    def stop(self, name, how=signal.SIGTERM, wait=8):
+        """Signal one process and wait for it; gives (exit status, seconds)."""
+        process = self.processes.pop(name)
+        begun = time.monotonic()
+        process.handle.send_signal(how)
+        try:
+            status = process.handle.wait(wait)
+        except subprocess.TimeoutExpired:
+            process.handle.kill()
+            status = process.handle.wait()
+        if process.handle.stdout:
+            process.handle.stdout.close()
+        return status, time.monotonic() - begun
+
+    def down(self):
+        for process in self.processes.values():
+            if process.handle.poll() is None:
+                process.handle.send_signal(signal.SIGCONT)
+                process.handle.terminate()
+        until = time.monotonic() + 8
+        for process in self.processes.values():
+            try:
+                process.handle.wait(max(0.1, until - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.handle.kill()
+                process.handle.wait()
+        self.processes = {}
+
+    # ------------------------------------------------------------ load
+
+    def arrivals(self, rate_factor=1.0):
+        """[stream, proxy, rate, token] for every stream at every machine where it begins."""
+        return [
+            [
+                stream,
+                f"{host}:7400",
+                stream["rate"] * rate_factor / len(self.hosts_of(stream["at"])),
+                self.tokens[host] if "by" in stream else None,
+            ]
+            for stream in self.topology["load"]
+            for host in self.hosts_of(stream["at"])
+        ]
+
+    def start_callers(self, seconds, processes=4, rate_factor=1.0, surges=(), label="load"):
+        arrivals = self.arrivals(rate_factor)
+        handles = []
+        for index in range(processes):
+            spec = {
+                "seed": f"{label}{index}",
+                "seconds": seconds,
+                "arrivals": arrivals[index::processes],
+                "surges": list(surges),
+                "report": os.path.join(self.folder, f"{label}-{index}.report.json"),
+            }
+            path = os.path.join(self.folder, f"{label}-{index}.json")
+            with open(path, "w", encoding="utf-8") as file:
+                json.dump(spec, file)
+            handles.append(self.spawn(f"{label}-{index}", ["mdfleet.caller", path]))
+        return handles
+
+    def rows(self, label="load"):
+        found = []
+        for name in sorted(os.listdir(self.folder)):
+            if name.startswith(f"{label}-") and name.endswith(".report.json"):
+                with open(os.path.join(self.folder, name), encoding="utf-8") as file:
+                    found += json.load(file)
+        return found
+
+
+def load_topology(name):
+    """A shipped topology by name, or a file."""
+    path = name if os.path.exists(name) else os.path.join(HERE, f"{name}.toml")
+    with open(path, "rb") as file:
+        return tomllib.load(file)
+
+
+def get(address, path):
+    """(status, facts) by plain HTTP, or (0, None)."""
+    try:
+        with urllib.request.urlopen(f"http://{address}{path}", timeout=2) as answer:
+            return answer.status, json.load(answer)
+    except urllib.error.HTTPError as refused:
+        with refused:
+            return refused.code, json.load(refused)
+    except (OSError, ValueError):
+        return 0, None
+
+
+def ready(address):
+    status, facts = get(address, "/ready")
+    return True if status == 200 else (facts or {}).get("why", "no answer")
--- /dev/null
+++ b/packages/mdhttp/mdhttp/__init__.py
@@ -0,0 +1,144 @@
+"""A small table of handlers over ASGI, filled by decorators; served by hypercorn at the seam."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+
+import trio
+
+TEXT = b"application/json"
+BODY_MAX = 16 << 20
+
+
+class TooLarge(Exception):
+    pass
+
+
+class HungUp(Exception):
+    pass
+
+
+@dataclass
+class Request:
+    method: str
+    path: str
+    query: str
+    headers: list
+    peer: str
+    receive: object
+    body_max: int = BODY_MAX
+
+    def header(self, name):
+        return next((v.decode("latin-1") for n, v in self.headers if n == name), None)
+
+    async def body(self, limit=None):
+        limit = limit or self.body_max
+        told = self.header(b"content-length")
+        if told and told.isdigit() and int(told) > limit:
+            raise TooLarge
+        chunks, size = [], 0
+        while True:
+            event = await self.receive()
+            if event["type"] == "http.disconnect":
+                raise HungUp
+            chunks.append(event.get("body", b""))
+            size += len(chunks[-1])
+            if size > limit:
+                raise TooLarge
+            if not event.get("more_body"):
+                return b"".join(chunks)
+
+
+@dataclass
+class Reply:
+    status: int
+    body: object = b""
+    headers: list = field(default_factory=list)
+
+    def lines(self):
+        data = self.body if isinstance(self.body, bytes) else json.dumps(self.body).encode()
+        typed = any(name == b"content-type" for name, _ in self.headers)
+        return data, [
+            *([] if typed else [(b"content-type", TEXT)]),
+            (b"content-length", str(len(data)).encode()),
+            *self.headers,
+        ]
+
+
+class Table:
+    """Handlers by method and path; a path that ends in "*" takes all below it."""
+
+    def __init__(self):
+        self.exact, self.below, self.rest = {}, [], None
+
+    def on(self, method, path):
+        def register(handler):
+            if path.endswith("*"):
+                self.below.append((method, path[:-1], handler))
+            else:
+                self.exact[method, path] = handler
+            return handler
+
+        return register
+
+    def otherwise(self, handler):
+        self.rest = handler
+        return handler
+
+    def find(self, method, path):
+        return (
+            self.exact.get((method, path))
+            or next((h for m, p, h in self.below if m == method and path.startswith(p)), None)
+            or self.rest
+        )
+
+
+class App:
+    """The ASGI side. Invariant: working counts requests that were begun and not yet answered."""
+
+    def __init__(self, table, owner, log):
+        self.table, self.owner, self.log = table, owner, log
+        self.working = 0
+        self.closing = False  # every answer asks the other side to close the connection
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] == "lifespan":
+            while (await receive())["type"] != "lifespan.shutdown":
+                await send({"type": "lifespan.startup.complete"})
+            await send({"type": "lifespan.shutdown.complete"})
+            return
+        if scope["type"] != "http":
+            return
+        request = Request(
+            scope["method"],
+            scope["raw_path"].decode("latin-1") if scope.get("raw_path") else scope["path"],
+            scope["query_string"].decode("latin-1"),
+            scope["headers"],
+            (scope.get("client") or ("", 0))[0],
+            receive,
+        )
+        request.path = request.path.partition("?")[0]
+        self.working += 1
+        try:
+            handler = self.table.find(request.method, request.path)
+            try:
+                if handler is None:
+                    reply = Reply(404, {"code": "not_found"})
+                else:
+                    reply = await handler(self.owner, request)
+            except TooLarge:
+                reply = Reply(413, {"code": "too_large", "verdict": "not-run"})
+            except HungUp:
+                return
+            data, headers = reply.lines()
+            if self.closing or reply.status == 413:
+                headers.append((b"connection", b"close"))
+            await send({"type": "http.response.start", "status": reply.status, "headers": headers})
+            await send({"type": "http.response.body", "body": data})
+        finally:
+            self.working -= 1
+
+    async def idle(self):
+        while self.working:
+            await trio.sleep(0.01)
--- /dev/null
+++ b/packages/mdlib/mdlib/__init__.py
@@ -0,0 +1,6 @@
+"""In users' programs: calls into the mesh, and an endpoint's side of the contract."""
+
+from mdlib.client import Answer, Client, Refused
+from mdlib.endpoint import Endpoint, Got
+
+__all__ = ["Answer", "Client", "Endpoint", "Got", "Refused"]
--- /dev/null
+++ b/packages/mdmanifest/mdmanifest/__init__.py
@@ -0,0 +1,21 @@
+"""Operators' manifests: read, checked, cut into ranges, compared, and looked up."""
+
+from mdmanifest.check import SIZE_MAX, TOTAL_WAIT_MAX, Bad, checked, parse, with_defaults
+from mdmanifest.ranges import assemble, cut, difference, seal_range
+from mdmanifest.ways import GUEST, Routes, Way
+
+__all__ = [
+    "GUEST",
+    "SIZE_MAX",
+    "TOTAL_WAIT_MAX",
+    "Bad",
+    "Routes",
+    "Way",
+    "assemble",
+    "checked",
+    "cut",
+    "difference",
+    "parse",
+    "seal_range",
+    "with_defaults",
+]
--- /dev/null
+++ b/packages/mdmanifest/mdmanifest/ways.py
@@ -0,0 +1,60 @@
+"""Looking up the way of a request: caller, method, path. The longest path wins."""
+
+from __future__ import annotations
+
+import re
+from typing import NamedTuple
+
+import immutables
+
+GUEST = "guest"  # the name of callers that hold no token
+CLEAN = re.compile(r"^(/[A-Za-z0-9_~:@!$&'()*+,;=-][A-Za-z0-9._~:@!$&'()*+,;=-]*)+/?$")
+
+
+class Way(NamedTuple):
+    name: str
+    service: str
+    path: str
+    safe: bool  # safe to repeat; else run-once
+    arrival: tuple  # (wait_us, tries) of each stage
+    spill: tuple
+    endpoint: tuple
+
+    @property
+    def total_us(self):
+        return self.arrival[0] + self.spill[0] + self.endpoint[0]
+
+
+class Routes:
+    """A manifest in force. Invariant: never changed once made; a new version is a new object."""
+
+    def __init__(self, version, facts):
+        self.version = version
+        self.load = facts["load"]
+        self.services = immutables.Map({s["name"]: s for s in facts["services"]})
+        budgets = {b["name"]: b for b in facts["budgets"]}
+        table, paths = {}, {}
+        for way in facts["ways"]:
+            stages = (
+                (budgets[way["budget"]][stage]["wait_us"], budgets[way["budget"]][stage]["tries"])
+                for stage in ("arrival", "spill", "endpoint")
+            )
+            made = Way(way["name"], way["service"], way["path"], way["repeat"] == "safe", *stages)
+            paths[way["path"]] = True
+            for caller in way["callers"]:
+                for method in way["methods"]:
+                    table[caller, method, way["path"]] = made
+        self.table, self.paths = immutables.Map(table), immutables.Map(paths)
+
+    def way(self, caller, method, path):
+        """(the way, None), or (None, the refusal's code)."""
+        if not CLEAN.match(path):
+            return None, "malformed"
+        # the longest path that any way has decides; a caller without it falls to no shorter one
+        prefix = path.rstrip("/")
+        while prefix:
+            if prefix in self.paths:
+                way = self.table.get((caller, method, prefix))
+                return (way, None) if way else (None, "way_forbidden")
+            prefix = prefix.rpartition("/")[0]
+        return None, "way_unknown"
--- /dev/null
+++ b/packages/mdnode/mdnode/__init__.py
@@ -0,0 +1,151 @@
+"""What every daemon is made of: links, a view, probes, loops that are kept going, and the stop."""
+
+from __future__ import annotations
+
+import signal
+from functools import partial
+
+import trio
+
+from mdhttp import App, Reply, Table
+from mdlog import Log
+from mdseam import MILLI, SECOND, Disk, Net, NoDisk, Seams, now, rest, until
+from mdview import Entry, View
+from mdwire import Links, Peer, serve
+
+LINGER = 800 * MILLI  # still serving, but telling everybody to leave
+STOP_WITHIN = 4_700 * MILLI  # the platform forces after about 6 s; we promise 5 s
+KNOWN = (OSError, ValueError, KeyError, TypeError, LookupError, RuntimeError, ArithmeticError)
+
+probes = Table()
+
+
+@probes.on("GET", "/live")
+async def live(part, request):
+    return Reply(200, {"live": True})
+
+
+@probes.on("GET", "/ready")
+async def ready(part, request):
+    why = part.node.not_ready()
+    return Reply(503 if why else 200, {"ready": not why, "why": why})
+
+
+def with_probes(table):
+    """The probes' handlers and those of a daemon, in one table."""
+    made = Table()
+    made.exact = {**probes.exact, **table.exact}
+    made.below, made.rest = table.below, table.rest
+    return made
+
+
+class Node:
+    """One daemon. Invariants: stopping goes from False to True once; stopped is set after it."""
+
+    def __init__(self, boot, seams, nursery, log=None):
+        self.boot, self.seams, self.nursery = boot, seams, nursery
+        self.log = log or Log(boot.name)
+        self.incarnation = seams.wall()
+        self.links = Links(
+            nursery, seams.net, boot.fleet_key, seams.rng, Peer(boot.name, boot.link), self.log
+        )
+        me = Entry(boot.link, boot.role, boot.hall, self.incarnation, 0, False, 0)
+        self.view = View(me, boot.seeds, seams.rng, self.links, self.log)
+        self.stopping = False
+        self.stop_due = None
+        self.asked, self.hurry, self.http_end = trio.Event(), trio.Event(), trio.Event()
+        self.part = self.app = None
+
+    def not_ready(self):
+        return [*(["stopping"] if self.stopping else []), *self.part.not_ready()]
+
+    async def forever(self, name, loop):
+        """Keep a loop going: an unexpected breakdown is logged and the loop begins anew."""
+        while True:
+            try:
+                await loop()
+                return
+            except* KNOWN as group:
+                self.log(105, task=name, cause=repr(group.exceptions[:3]))
+            await rest(200 * MILLI)
+
+    async def run(self, make_part, task_status=trio.TASK_STATUS_IGNORED):
+        part = self.part = make_part(self)
+        self.app = App(with_probes(part.table), part, self.log)
+        await part.begin()
+        handlers = part.answers() | View.handlers.bound(self.view)
+        nursery = self.nursery
+        boot, seams = self.boot, self.seams
+        await nursery.start(
+            seams.net.serve_links,
+            boot.link,
+            partial(
+                serve,
+                key=boot.fleet_key,
+                rng=seams.rng,
+                name=boot.name,
+                handlers=handlers,
+                log=self.log,
+            ),
+        )
+        for name, loop in {"view": self.view.run, **part.loops()}.items():
+            nursery.start_soon(self.forever, name, loop)
+        await nursery.start(
+            seams.net.serve_http, self.app, boot.http, self.http_end, STOP_WITHIN - LINGER
+        )
+        self.log(101, role=boot.role, link=boot.link, http=boot.http, hall=boot.hall)
+        task_status.started()
+        await self.asked.wait()
+        await self.stop()
+
+    async def stop(self):
+        self.log(102, working=self.app.working)
+        self.stopping, self.app.closing = True, True
+        self.stop_due = now() + STOP_WITHIN
+        with until(self.stop_due):
+            async with trio.open_nursery() as nursery:
+
+                async def hurried():
+                    await self.hurry.wait()
+                    self.log(104)
+                    nursery.cancel_scope.cancel()
+
+                nursery.start_soon(hurried)
+                linger_due = now() + LINGER
+                await self.part.leaving()
+                await self.view.farewell()
+                await rest(linger_due - now())
+                await self.part.drained()
+                await self.app.idle()
+                nursery.cancel_scope.cancel()
+        self.http_end.set()
+        await rest(50 * MILLI)
+        self.log(103, working=self.app.working)
+        self.nursery.cancel_scope.cancel()
+
+
+def seams_of(boot):
+    return Seams(Net(boot.host), Disk(boot.data) if boot.data else NoDisk())
+
+
+async def signals(node):
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for _ in received:
+            (node.hurry if node.asked.is_set() else node.asked).set()
+
+
+async def daemon(boot, make_part):
+    async with trio.open_nursery() as nursery:
+        node = Node(boot, seams_of(boot), nursery)
+        nursery.start_soon(signals, node)
+        await node.run(make_part)
+
+
+def start(make_part):
+    def run(boot):
+        trio.run(daemon, boot, make_part)
+
+    return run
+
+
+__all__ = ["LINGER", "SECOND", "STOP_WITHIN", "Node", "daemon", "start"]
--- /dev/null
+++ b/packages/mdproxy/mdproxy/__init__.py
@@ -0,0 +1,5 @@
+"""The helper on each application machine."""
+
+from mdproxy.part import Part
+
+__all__ = ["Part"]
--- /dev/null
+++ b/packages/mdproxy/mdproxy/delivery.py
@@ -0,0 +1,221 @@
+"""The manifest at a proxy: what is wanted is the head; the loop works out what is missing."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import trio
+
+from mdmanifest import Routes, assemble
+from mdseam import MILLI, SECOND, fingerprint, now, rest, until
+from mdwire import Breakdown, Handlers, Shed
+
+CONFIRM_EVERY = 400 * MILLI
+ASK_WAIT = 400 * MILLI
+FREEZE = 1_200 * MILLI  # the loop turns at least this often unless the process stood still
+SWITCH_ALONE = 700 * MILLI  # after staging, without word to switch
+FIRST_CONFIRM_WAIT = 600 * MILLI
+
+
+@dataclass(frozen=True)
+class Staged:
+    routes: Routes
+    head: dict
+    at: int
+
+
+class Delivery:
+    """Invariants: the version in force never goes down; staged, if any, is newer than it;
+    bodies holds whole ranges whose fingerprint was checked; doubtful means that this process
+    stood still and has not confirmed its version since."""
+
+    handlers = Handlers()
+
+    def __init__(self, node, put_in_force):
+        self.node, self.put_in_force = node, put_in_force
+        self.active = None  # Staged
+        self.staged = None
+        self.bodies = {}
+        self.confirmed_at = None
+        self.tick_at = now()
+        self.cut_off = False
+        self.doubtful = None  # an event while in doubt
+        self.news = trio.Event()
+        self.fetching = trio.Lock()
+
+    @property
+    def version(self):
+        return self.active.routes.version if self.active else 0
+
+    @property
+    def newest(self):
+        return self.staged.routes.version if self.staged else self.version
+
+    # ------------------------------------------------------------ for calls
+
+    async def current(self):
+        """Before a call: after a freeze the version is confirmed first, if the core answers."""
+        if now() - self.tick_at > FREEZE and self.doubtful is None:
+            self.doubtful = trio.Event()
+            self.wake()
+        if self.doubtful is not None:
+            with until(now() + FIRST_CONFIRM_WAIT):
+                await self.doubtful.wait()
+
+    def wake(self):
+        self.news.set()
+
+    def heard(self, version, address):
+        if version > self.newest:
+            self.wake()
+
+    # ------------------------------------------------------------ loops
+
+    async def run(self):
+        while True:
+            gap = now() - self.tick_at
+            self.tick_at = now()
+            if gap > FREEZE and self.active and self.doubtful is None:
+                self.doubtful = trio.Event()
+            await self.confirm()
+            self.news = trio.Event()
+            with until(now() + CONFIRM_EVERY):
+                await self.news.wait()
+                await rest(20 * MILLI)
+
+    async def confirm(self):
+        """Ask the core for the head; fetch and stage what is newer."""
+        head, source = await self.ask_core()
+        if head is None:
+            if not self.cut_off:
+                self.cut_off = True
+                self.node.log(503, version=self.version)
+            head, source = await self.ask_peers()
+        else:
+            if self.cut_off or self.doubtful is not None:
+                self.node.log(504, version=head["version"])
+            self.cut_off = False
+        if head is not None and head["version"] > self.newest:
+            await self.stage(head, source)
+        if self.doubtful is not None:
+            if self.staged is not None:
+                self.switch(self.staged.routes.version)
+            self.doubtful.set()
+            self.doubtful = None
+        if not self.cut_off:
+            self.confirmed_at = now()
+
+    async def ask_core(self):
+        members = self.node.view.core("mdconf")
+        self.node.seams.rng.shuffle(members)
+        members.sort(key=lambda a: a != getattr(self, "last_source", None))
+        for address in members[:3]:
+            try:
+                head = await self.node.links.call(
+                    address, "manifest.head", self.newest, now() + ASK_WAIT
+                )
+                self.last_source = address
+                return head, address
+            except (Breakdown, Shed):
+                self.last_source = None
+        return None, None
+
+    async def ask_peers(self):
+        """Cut off from the core: a neighbour's version is better than an older one."""
+        peers = [
+            (seen.entry.version, address)
+            for address, seen in self.node.view.entries.items()
+            if seen.entry.role == "mdproxy" and seen.entry.version > self.newest
+        ]
+        for _, address in sorted(peers, reverse=True)[:2]:
+            try:
+                head = await self.node.links.call(
+                    address, "manifest.head", self.newest, now() + ASK_WAIT
+                )
+                return head, address
+            except (Breakdown, Shed):
+                continue
+        return None, None
+
+    async def stage(self, head, source):
+        async with self.fetching:
+            if head["version"] <= self.newest:
+                return True
+            wanted = head["ranges"]
+            missing = sorted({f for f in wanted if f not in self.bodies})
+            bodies = await self.fetch(missing, source)
+            if bodies is None:
+                return False
+            self.bodies.update(bodies)
+            held = [self.bodies[f] for f in wanted]
+            routes = await trio.to_thread.run_sync(lambda: Routes(head["version"], assemble(held)))
+            if self.staged is None or routes.version > self.staged.routes.version:
+                self.staged = Staged(routes, head, now())
+                self.node.log(501, version=routes.version, fetched=len(missing))
+                if self.active is None:
+                    self.switch(routes.version)
+                else:
+                    self.node.nursery.start_soon(self.switch_alone, routes.version)
+            return True
+
+    async def fetch(self, missing, source):
+        bodies = {}
+        others = [a for a in self.node.view.core("mdconf") if a != source]
+        for address in [source, *others]:
+            for chunk in chunks([f for f in missing if f not in bodies], 64):
+                try:
+                    told = await self.node.links.call(
+                        address, "blob.get", chunk, now() + 2 * SECOND
+                    )
+                except (Breakdown, Shed):
+                    break
+                bodies.update(
+                    (f, bytes(body)) for f, body in told.items() if fingerprint(bytes(body)) == f
+                )
+            if len(bodies) == len(missing):
+                return bodies
+        return None
+
+    async def switch_alone(self, version):
+        await rest(SWITCH_ALONE)
+        self.switch(version)
+
+    def switch(self, version):
+        staged = self.staged
+        if (
+            staged is None
+            or staged.routes.version > version
+            or staged.routes.version <= self.version
+        ):
+            return
+        self.active, self.staged = staged, None
+        self.bodies = {f: self.bodies[f] for f in staged.head["ranges"]}
+        self.put_in_force(staged.routes)
+        self.node.view.bump(version=staged.routes.version)
+        self.node.log(502, version=staged.routes.version)
+
+    # ------------------------------------------------------------ answers
+
+    @handlers.on("manifest.stage")
+    async def on_stage(self, peer, head):
+        return {"staged": await self.stage(head, peer.address)}
+
+    @handlers.on("manifest.switch")
+    async def on_switch(self, peer, version):
+        self.switch(version)
+        return {"version": self.version}
+
+    @handlers.on("manifest.head")
+    async def on_head(self, peer, known):
+        if self.active is None:
+            raise Shed("no_manifest")
+        head = self.active.head
+        return head if head["version"] > known else {"version": head["version"]}
+
+    @handlers.on("blob.get")
+    async def on_blob(self, peer, wanted):
+        return {f: self.bodies[f] for f in wanted if f in self.bodies}
+
+
+def chunks(items, size):
+    return [items[start : start + size] for start in range(0, len(items), size)]
--- /dev/null
+++ b/packages/mdproxy/mdproxy/part.py
@@ -0,0 +1,439 @@
+"""mdproxy: what callers, endpoints, neighbours and the core ask of it."""
+
+from __future__ import annotations
+
+import json
+import re
+
+import trio
+
+from mdhttp import HungUp, Reply, Table, TooLarge
+from mdload import LoadList, Node
+from mdmanifest import GUEST
+from mdproxy.call import Answer, Call, passed_on
+from mdproxy.delivery import Delivery
+from mdproxy.endpoints import BEAT, WINDOW, Book, Denied
+from mdproxy.keys import Keys
+from mdproxy.tries import Tries
+from mdproxy.walk import Walker
+from mdseam import MILLI, SECOND, fingerprint, now, rest
+from mdverdict import MAY_HAVE_RUN, NOT_RUN, Refusal, refusal
+from mdwire import Handlers, Shed
+
+BEAT_CORE = 500 * MILLI
+NAME = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
+MARGIN = 20 * MILLI  # a neighbour ends its try this much before the home's due
+
+
+class Part:
+    """Invariants: lists only go up in (epoch, seq); walker.routes is delivery's active version."""
+
+    table = Table()
+    handlers = Handlers()
+
+    def __init__(self, node):
+        self.node = node
+        boot = node.boot
+        self.book = Book(boot.host, boot.fleet_key, node.log)
+        self.walker = Walker(node, self.book, Tries(boot.nodes_expected))
+        self.delivery = Delivery(node, self.put_in_force)
+        self.keys = Keys()
+        self.asked_at = self.born = now()
+        self.stale_told = False
+        self.calls = 0
+        node.view.heard_version = self.delivery.heard
+
+    def answers(self):
+        return Part.handlers.bound(self) | Delivery.handlers.bound(self.delivery)
+
+    async def begin(self):
+        pass
+
+    def loops(self):
+        return {
+            "manifest": self.delivery.run,
+            "endpoints": self.walker.close_loop,
+            "beat": self.beat_loop,
+        }
+
+    def put_in_force(self, routes):
+        self.walker.routes = routes
+
+    def not_ready(self):
+        return [] if self.delivery.active else ["no manifest yet"]
+
+    # ------------------------------------------------------------ the core
+
+    async def beat_loop(self):
+        """Beats to every mdreg; and, without a collector, the end of each interval."""
+        while True:
+            await self.tell_core()
+            load = self.walker.routes.load if self.walker.routes else None
+            if load and now() - self.asked_at > 2 * load["interval_us"]:
+                self.measure()
+            stale = load and self.walker.lists.stale(now(), load["stale_us"])
+            if stale and not self.stale_told:
+                self.node.log(704, seq=self.walker.lists.seq, epoch=self.walker.lists.epoch)
+            self.stale_told = bool(stale)
+            await rest(BEAT_CORE)
+
+    async def tell_core(self):
+        me = self.node.view.me
+        beat = {
+            "address": me.address,
+            "http": self.node.boot.http,
+            "role": "mdproxy",
+            "hall": me.hall,
+            "incarnation": me.incarnation,
+            "version": self.delivery.version,
+            "newest": self.delivery.newest,
+            "cut_off": self.delivery.cut_off,
+            "leaving": self.node.stopping,
+            "interval_us": self.walker.routes.load["interval_us"] if self.walker.routes else None,
+            "endpoints": [
+                {
+                    "service": e.service,
+                    "address": e.address,
+                    "incarnation": e.incarnation,
+                    "in_flight": e.in_flight,
+                    "capacity": e.capacity,
+                    "draining": e.draining,
+                }
+                for e in self.book.by_address.values()
+            ],
+            "counts": dict(self.walker.counts),
+        }
+        regs = self.node.view.core("mdreg")
+        await self.node.links.call_all({a: (a, "reg.beat", beat) for a in regs}, now() + BEAT_CORE)
+
+    def measure(self):
+        at = now()
+        self.asked_at = at
+        return self.book.measure(at, self.walker.routes.load["share"])
+
+    @handlers.on("load.ask")
+    async def on_ask(self, peer, _):
+        if self.walker.routes is None or self.node.stopping:
+            return {}
+        return self.measure()
+
+    @handlers.on("load.list")
+    async def on_list(self, peer, told):
+        lists = self.walker.lists
+        if told["epoch"] < lists.epoch:
+            self.node.log(703, epoch=told["epoch"], known=lists.epoch, of=peer.name)
+            raise Shed("old_epoch", epoch=lists.epoch)
+        if (told["epoch"], told["seq"]) <= (lists.epoch, lists.seq):
+            return {}
+        self.walker.lists = LoadList(told["epoch"], told["seq"], now())
+        found = {}
+        for address, services in told["nodes"].items():
+            for service, (rho, incarnation, draining) in services.items():
+                found.setdefault(service, []).append(Node(address, rho, incarnation, draining))
+        self.walker.told_nodes = {service: tuple(nodes) for service, nodes in found.items()}
+        return {}
+
+    # ------------------------------------------------------------ endpoints
+
+    def local(self, request):
+        if request.peer not in self.node.boot.local:
+            raise Denied(403, "not_local", f"only this machine's endpoints, not {request.peer}")
+
+    async def facts(self, request, wanted):
+        self.local(request)
+        try:
+            facts = json.loads(await request.body(65536))
+        except ValueError:
+            raise Denied(400, "malformed", "body is no JSON") from None
+        if not isinstance(facts, dict):
+            raise Denied(400, "malformed", "body is no object")
+        wrong = [
+            f"{name}: {why}"
+            for name, (check, why) in wanted.items()
+            if name in facts and not check(facts[name])
+        ] + [
+            f"{name} is missing"
+            for name, (_, why) in wanted.items()
+            if name not in facts and why[0] != "?"
+        ]
+        if wrong:
+            raise Denied(400, "malformed", "; ".join(wrong))
+        return facts
+
+    @table.on("POST", "/md/enrol")
+    async def enrol(self, request):
+        try:
+            facts = await self.facts(request, ENROL)
+            if self.walker.routes is None:
+                raise Denied(503, "no_manifest")
+            if facts["service"] not in self.walker.routes.services:
+                raise Denied(404, "service_unknown", facts["service"])
+            if facts["address"].rpartition(":")[0] not in self.node.boot.local:
+                raise Denied(403, "not_local", "the endpoint's address is of another machine")
+        except Denied as denied:
+            return said(denied)
+        token = self.book.enrol(
+            facts["service"],
+            facts["address"],
+            facts["incarnation"],
+            facts["capacity"],
+            now(),
+            self.node.seams.wall(),
+        )
+        return Reply(200, {"token": token, "beat_us": BEAT, "window_us": WINDOW})
+
+    @table.on("POST", "/md/beat")
+    async def beat(self, request):
+        try:
+            facts = await self.facts(request, BEAT_FACTS)
+            read = self.book.read_token(facts["token"])
+            if read and self.walker.routes and read[0] not in self.walker.routes.services:
+                raise Denied(404, "service_unknown", read[0])
+            self.book.beat(
+                facts["token"],
+                facts["capacity"],
+                facts.get("draining", False),
+                facts.get("load"),
+                now(),
+            )
+        except Denied as denied:
+            return said(denied)
+        return Reply(200, {"beat_us": BEAT, "window_us": WINDOW})
+
+    @table.on("POST", "/md/leave")
+    async def leave(self, request):
+        try:
+            self.book.leave((await self.facts(request, {"token": TOKEN}))["token"])
+        except Denied as denied:
+            return said(denied)
+        return Reply(200, {})
+
+    @table.on("GET", "/md/status")
+    async def status(self, request):
+        try:
+            self.local(request)
+        except Denied as denied:
+            return said(denied)
+        lists = self.walker.lists
+        return Reply(
+            200,
+            {
+                "version": self.delivery.version,
+                "cut_off": self.delivery.cut_off,
+                "list": {"epoch": lists.epoch, "seq": lists.seq},
+                "rho": {s: o.rho for s, o in self.book.occupations.items()},
+                "calls_under_way": len(self.walker.slab),
+                "counts": self.walker.counts,
+                "second_tries": {
+                    "requests": self.walker.tries.requests,
+                    "tries": self.walker.tries.tries,
+                },
+                "neighbours": sorted(self.node.view.entries),
+            },
+        )
+
+    # ------------------------------------------------------------ calls
+
+    @table.otherwise
+    async def arrival(self, request):
+        """Any other path is a call."""
+        try:
+            made = await self.admitted(request)
+        except TooLarge:
+            made = refusal("too_large")
+        if not isinstance(made, Call):
+            return self.reply(made, None)
+        self.walker.count("calls")
+        self.walker.tries.request(now())
+        return self.reply(await self.watched(made, request), made)
+
+    async def admitted(self, request):
+        """A Call, or the Refusal or earlier Answer that ends the request here."""
+        routes = self.walker.routes
+        if routes is None:
+            return refusal("no_manifest")
+        await self.delivery.current()
+        routes = self.walker.routes
+        caller, token = GUEST, request.header(b"md-token")
+        if token is not None:
+            young = now() - self.born < WINDOW
+            caller = (
+                self.book.caller(token, young) if request.peer in self.node.boot.local else None
+            )
+            if caller is None:
+                return refusal("bad_token")
+        way, code = routes.way(caller, request.method, request.path)
+        if way is None:
+            return refusal(code)
+        body = await request.body(routes.services[way.service]["body_max"])
+        key, due_us = request.header(b"md-key"), request.header(b"md-due")
+        if key is not None and not NAME.match(key):
+            return refusal("malformed", "md-key must be 1 to 128 of A-Z a-z 0-9 . _ : -")
+        if due_us is not None and not (due_us.isdigit() and len(due_us) < 16):
+            return refusal("malformed", "md-due must be whole microseconds")
+        if body and not is_json(body):
+            return refusal("malformed", "body is no JSON")
+        if not request.query.isascii():
+            return refusal("malformed", "query")
+        total = min(way.total_us, int(due_us)) if due_us is not None else way.total_us
+        if self.node.stop_due is not None:
+            total = min(total, self.node.stop_due - now() - 100 * MILLI)
+            if total <= 0:
+                return refusal("stopping")
+        self.calls += 1
+        return Call(
+            id=f"{self.node.incarnation:x}-{self.node.boot.host}-{self.calls}",
+            caller=caller,
+            method=request.method,
+            path=request.path,
+            query=request.query,
+            headers=passed_on(request.headers),
+            body=body,
+            way=way,
+            version=routes.version,
+            due=now() + total,
+            key=key,
+        )
+
+    async def watched(self, call, request):
+        """Walk a call; a caller that hangs up cancels what has not started."""
+        print_of = None
+        if call.key is not None:
+            print_of = fingerprint(
+                b"\0".join([call.method.encode(), call.target_path.encode(), call.body])
+            )
+            known = self.keys.begin(call.caller, call.key, print_of, now())
+            if isinstance(known, str):
+                return refusal(known)
+            if known is not None:
+                return known
+        try:
+            async with trio.open_nursery() as nursery:
+
+                async def watch():
+                    while (await request.receive())["type"] != "http.disconnect":
+                        pass
+                    call.hung_up = True
+                    nursery.cancel_scope.cancel()
+
+                nursery.start_soon(watch)
+                await self.walker.walk(call)
+                nursery.cancel_scope.cancel()
+        finally:
+            if print_of is not None:
+                self.keys.end(call.caller, call.key, self.fate(call), call.outcome, now())
+        if call.outcome is None:
+            raise HungUp
+        return call.outcome
+
+    def fate(self, call):
+        if call.outcome is None:
+            spilling = call.target is not None
+            return (
+                MAY_HAVE_RUN if call.started or call.may_have_run or spilling else NOT_RUN
+            ).value
+        return call.outcome.verdict.value
+
+    def reply(self, outcome, call):
+        lines = [
+            (b"md-verdict", outcome.verdict.value.encode()),
+            (b"md-node", self.node.boot.name.encode()),
+            *([(b"md-call", call.id.encode())] if call else []),
+            *([(b"md-cut-off", b"1")] if self.delivery.cut_off else []),
+        ]
+        if isinstance(outcome, Answer):
+            self.walker.count(f"answer.{outcome.status // 100}xx")
+            return Reply(outcome.status, outcome.body, [*outcome.headers, *lines])
+        self.walker.count(f"refused.{outcome.code}")
+        if outcome.retry_after_us:
+            seconds = -(-outcome.retry_after_us // SECOND)
+            lines.append((b"retry-after", str(seconds).encode()))
+        return Reply(outcome.status, outcome.body(), lines)
+
+    # ------------------------------------------------------------ spilled calls
+
+    @handlers.on("call.run")
+    async def on_run(self, peer, args):
+        """A neighbour's call. Way, service, incarnation, drain, room and due are checked here."""
+        routes = self.walker.routes
+        if routes is None:
+            raise Shed("no_manifest")
+        if self.node.stopping:
+            raise Shed("stopping")
+        way, code = routes.way(args["caller"], args["method"], args["path"])
+        if way is None or way.service != args["service"]:
+            raise Shed(code or "way_forbidden")
+        left = trio.current_effective_deadline()
+        call = Call(
+            id=args["id"],
+            caller=args["caller"],
+            method=args["method"],
+            path=args["path"],
+            query=args["query"],
+            headers=[(bytes(n), bytes(v)) for n, v in args["headers"]],
+            body=bytes(args["body"]),
+            way=way,
+            version=routes.version,
+            due=int(left * SECOND) - MARGIN if left < float("inf") else now() + way.total_us,
+            key=args["key"],
+            home=False,
+            incarnation=args["incarnation"],
+        )
+        self.walker.count("taken")
+        outcome = await self.walker.walk(call)
+        if isinstance(outcome, Refusal):
+            raise Shed(outcome.code)
+        return {
+            "status": outcome.status,
+            "headers": [list(line) for line in outcome.headers],
+            "body": outcome.body,
+        }
+
+    # ------------------------------------------------------------ stop
+
+    async def leaving(self):
+        await self.tell_core()
+
+    async def drained(self):
+        while len(self.walker.slab):
+            await rest(10 * MILLI)
+
+
+TOKEN = (lambda v: isinstance(v, str) and 0 < len(v) < 1024, "must be the token of enrolment")
+CAPACITY = (
+    lambda v: isinstance(v, int) and not isinstance(v, bool) and 0 < v <= 100_000,
+    "must be a whole number from 1: calls at once",
+)
+ENROL = {
+    "service": (lambda v: isinstance(v, str), "must be a name"),
+    "address": (
+        lambda v: isinstance(v, str) and re.match(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$", v),
+        "must be an IP number and port",
+    ),
+    "capacity": CAPACITY,
+    "incarnation": (
+        lambda v: isinstance(v, str) and NAME.match(v),
+        "must be 1 to 128 of A-Z a-z 0-9 . _ : -",
+    ),
+}
+BEAT_FACTS = {
+    "token": TOKEN,
+    "capacity": CAPACITY,
+    "draining": (lambda v: isinstance(v, bool), "? must be true or false"),
+    "load": (
+        lambda v: isinstance(v, (int, float)) and not isinstance(v, bool) and 0 <= v <= 1,
+        "? must be in 0..1",
+    ),
+}
+
+
+def said(denied):
+    return Reply(denied.status, {"code": denied.code, "detail": denied.detail})
+
+
+def is_json(body):
+    try:
+        json.loads(body)
+        return True
+    except (ValueError, RecursionError):
+        return False
--- /dev/null
+++ b/packages/mdproxy/mdproxy/tries.py
@@ -0,0 +1,51 @@
+"""Second tries of one node: a sliding window, and this node's part of the fleet's reserve.
+
+>>> tries = Tries(nodes=8)
+>>> [tries.permit(0) for _ in range(4)]
+[True, True, True, False]
+>>> for _ in range(100): tries.request(1)
+>>> sum(tries.permit(2) for _ in range(100))
+12
+>>> tries.permit(10_000_000 + 200_000)
+True
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+WINDOW = 10_000_000
+GRAIN = 100_000
+RATIO = 0.15
+FLEET_RESERVE = 24
+
+
+class Tries:
+    # Invariants: buckets are in order of time and none is older than WINDOW + GRAIN; requests
+    # and tries are their sums.
+    def __init__(self, nodes):
+        self.reserve = FLEET_RESERVE // nodes or 1
+        self.buckets = deque()
+        self.requests = self.tries = 0
+
+    def bucket(self, at):
+        while self.buckets and self.buckets[0][0] * GRAIN + WINDOW + GRAIN <= at:
+            _, requests, tries = self.buckets.popleft()
+            self.requests -= requests
+            self.tries -= tries
+        if not self.buckets or self.buckets[-1][0] < at // GRAIN:
+            self.buckets.append([at // GRAIN, 0, 0])
+        return self.buckets[-1]
+
+    def request(self, at):
+        self.bucket(at)[1] += 1
+        self.requests += 1
+
+    def permit(self, at):
+        """Count a second try, if there is room for it."""
+        bucket = self.bucket(at)
+        if self.tries + 1 > max(self.reserve, RATIO * self.requests):
+            return False
+        bucket[2] += 1
+        self.tries += 1
+        return True
--- /dev/null
+++ b/packages/mdproxy/mdproxy/walk.py
@@ -0,0 +1,380 @@
+"""A call's walk: arrival, (one) spill, endpoint. Each step gives the next, or None at the end."""
+
+from __future__ import annotations
+
+import json
+from collections import deque
+
+import trio
+
+from mdload import Choice, Home, LoadList, Wheel, choose
+from mdproxy.call import Answer, passed_on
+from mdproxy.endpoints import BadAnswer, check_answer, told_load
+from mdseam import MILLI, HttpBreakdown, now, rest, until
+from mdslab import Slab
+from mdverdict import NOT_RUN, TABLE
+from mdwire import Breakdown, Shed
+
+
+class Holding:
+    """Calls of one service that wait for a slot here. Invariant: first come, first served; an
+    entry is either in line or has been told its fate, never both."""
+
+    def __init__(self, walker, service):
+        self.walker, self.service = walker, service
+        self.line = deque()
+        self.mean_us = 50 * MILLI  # how long an endpoint holds a slot, smoothed
+
+    def worth_it(self, capacity, wait_us):
+        """Would a call that joins now likely be served within its wait?"""
+        return (len(self.line) + 1) * self.mean_us / max(1, capacity) <= wait_us
+
+    def wake(self):
+        while self.line:
+            home = self.walker.book.home(self.service)
+            if home is None:
+                while self.line:
+                    self.line.popleft()[1].set()
+                return
+            if not home.room:
+                return
+            call, told = self.line.popleft()
+            call.endpoint = home
+            self.walker.book.enter(home, now())
+            told.set()
+
+    def ended(self, took_us):
+        self.mean_us += (took_us - self.mean_us) // 8
+
+
+class Walker:
+    """Invariants: every call under way is in the slab, with its continuation in call.step; a call
+    holds a slot of call.endpoint iff that is not None."""
+
+    def __init__(self, node, book, tries):
+        self.node, self.book, self.tries = node, book, tries
+        self.slab = Slab()
+        self.lists = LoadList()
+        self.told_nodes = {}  # service -> tuple of mdload.Node, of the latest list
+        self.wheels = {}
+        self.holdings = {}
+        self.counts = {}
+        self.routes = None
+
+    def count(self, name):
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def holding(self, service):
+        if service not in self.holdings:
+            made = self.holdings[service] = Holding(self, service)
+            self.book.waiters[service] = made.wake
+        return self.holdings[service]
+
+    # ------------------------------------------------------------ driving
+
+    async def walk(self, call):
+        """Drive a call to its outcome."""
+        call.step = self.choose_step if call.home else self.enter_spilled
+        handle = self.slab.put(call)
+        try:
+            while (call := self.slab.get(handle)).step is not None:
+                if now() >= call.due and call.outcome is None:
+                    call.refuse("due_passed")
+                    break
+                call.step = await call.step(call)
+            return call.outcome
+        finally:
+            call = self.slab.take(handle)
+            self.let_go(call)
+
+    def let_go(self, call):
+        if call.endpoint is not None:
+            endpoint, call.endpoint = call.endpoint, None
+            self.book.leave_slot(endpoint, now())
+
+    def second_try(self, call):
+        """May this call be sent once more? Counts it if so. The first sending is always free."""
+        if call.sends == 0:
+            return True
+        return self.tries.permit(now())
+
+    # ------------------------------------------------------------ arrival
+
+    def decide(self, call):
+        service, at = call.way.service, now()
+        load, me = self.routes.load, self.node.boot.link
+        home = self.book.home(service)
+        occupation = self.book.occupations.get(service)
+        facts = Home(
+            rho=occupation.rho if occupation else 0.0,
+            room=home is not None and home.room,
+            present=home is not None,
+        )
+        view = LoadList(
+            self.lists.epoch, self.lists.seq, self.lists.at, self.told_nodes.get(service, ())
+        )
+        return choose(
+            facts,
+            view,
+            self.wheels.setdefault(service, Wheel()),
+            at,
+            me,
+            load["phi"],
+            load["omega"],
+            load["stale_us"],
+            frozenset(call.tried),
+        )
+
+    async def choose_step(self, call):
+        choice: Choice = self.decide(call)
+        call.rules.append(choice.rule)
+        self.count(f"rule.{choice.rule}")
+        if choice.kind == "home":
+            call.endpoint = self.book.home(call.way.service)
+            self.book.enter(call.endpoint, now())
+            return self.endpoint_step
+        if choice.kind == "spill" and call.spills <= call.way.spill[1]:
+            call.target = choice.target
+            return self.spill_step
+        return self.hold_step
+
+    async def hold_step(self, call):
+        """No room anywhere: wait a little for a slot at home, if that is likely to help."""
+        home = self.book.home(call.way.service)
+        if home is None:
+            return call.refuse("home_gone")
+        if home.room:
+            call.endpoint = home
+            self.book.enter(home, now())
+            return self.endpoint_step
+        holding = self.holding(call.way.service)
+        wait_us = call.way.arrival[0]
+        if call.spills or not holding.worth_it(home.capacity, wait_us):
+            return call.refuse("busy")
+        told = trio.Event()
+        entry = (call, told)
+        holding.line.append(entry)
+        try:
+            with until(min(call.due, now() + wait_us)):
+                await told.wait()
+        finally:
+            if not told.is_set():
+                holding.line.remove(entry)
+        if call.endpoint is not None:
+            return self.endpoint_step
+        if told.is_set():
+            return self.choose_step  # home is gone meanwhile
+        return call.refuse("busy")
+
+    # ------------------------------------------------------------ spill
+
+    async def spill_step(self, call):
+        if not self.second_try(call):
+            return self.hold_step
+        call.sends += 1
+        call.spills += 1
+        self.count("spilled")
+        target, way, at = call.target, call.way, now()
+        due = min(call.due, at + way.spill[0] + way.endpoint[0])
+        args = {
+            "id": call.id,
+            "caller": call.caller,
+            "method": call.method,
+            "path": call.path,
+            "query": call.query,
+            "headers": [list(line) for line in call.headers],
+            "body": call.body,
+            "key": call.key,
+            "way": way.name,
+            "service": way.service,
+            "incarnation": target.incarnation,
+            "version": call.version,
+        }
+        self.book.spilled(way.service, 1, at)
+        try:
+            told = await self.node.links.call(target.address, "call.run", args, due)
+        except Shed as shed:
+            call.tried.add(target.address)
+            self.count(f"shed.{shed.code}")
+            if TABLE.get(shed.code, (0, NOT_RUN))[1] is NOT_RUN:
+                return self.choose_step
+            return self.unknown(call, shed.code, self.choose_step, call.spills <= way.spill[1])
+        except Breakdown as broken:
+            call.tried.add(target.address)
+            self.count("spill.broke")
+            if not broken.sent:
+                return self.choose_step
+            code = "no_answer" if now() >= due else "lost"
+            return self.unknown(call, code, self.choose_step, call.spills <= way.spill[1])
+        finally:
+            self.book.spilled(way.service, -1, now())
+        call.outcome = Answer(
+            told["status"], [(bytes(n), bytes(v)) for n, v in told["headers"]], told["body"]
+        )
+        return None
+
+    def unknown(self, call, code, again, tries_left):
+        """A try's fate is unknown: try again only on a way that is safe to repeat."""
+        call.may_have_run = True
+        if call.way.safe and tries_left and now() < call.due and not call.hung_up:
+            return again
+        call.refuse(code)
+        return None
+
+    async def enter_spilled(self, call):
+        """At the neighbour: everything is checked here again, and refused as not run."""
+        home = self.book.home(call.way.service)
+        if home is None:
+            return call.refuse("home_gone")
+        if home.incarnation != call.incarnation:
+            known = [e for e in self.book.of(call.way.service) if e.incarnation == call.incarnation]
+            if not known:
+                return call.refuse("home_gone", "another incarnation")
+            home = known[0]
+        if not home.room:
+            return call.refuse("busy")
+        call.endpoint = home
+        self.book.enter(home, now())
+        return self.endpoint_step
+
+    # ------------------------------------------------------------ endpoint
+
+    async def endpoint_step(self, call):
+        endpoint, way = call.endpoint, call.way
+        if not endpoint.present:
+            self.let_go(call)
+            return self.after_not_run(call)
+        if call.sends and not self.tries.permit(now()):
+            return call.refuse("busy", "no second tries left")
+        call.sends += 1
+        call.endpoint_tries += 1
+        begun = now()
+        due = min(call.due, begun + way.endpoint[0])
+        service = self.routes.services.get(way.service) or {"echo": False, "identity": False}
+        sent = False
+
+        def started():
+            nonlocal sent
+            sent = call.started = True
+            shield.shield = True  # from here on only the due ends it
+
+        with until(due) as shield:
+            try:
+                connection = await self.connection(endpoint, service)
+                status, lines, body = await connection.request(
+                    call.method,
+                    call.target_path,
+                    self.endpoint_lines(call, endpoint, due),
+                    call.body,
+                    started,
+                )
+                try:
+                    lines = check_answer(endpoint, service, call.id, status, lines, body)
+                except BadAnswer as bad:
+                    await connection.close()
+                    self.node.log(405, address=endpoint.address, why=str(bad), call=call.id)
+                    self.count("answer.bad")
+                    return self.after_unknown(call, "bad_answer")
+                self.keep(endpoint, connection)
+            except HttpBreakdown:
+                if sent:
+                    self.count("endpoint.lost")
+                    return self.after_unknown(call, "lost")
+                self.book.doubt(endpoint)
+                self.let_go(call)
+                return self.after_not_run(call)
+        if shield.cancelled_caught:
+            if sent:
+                self.count("endpoint.late")
+                return self.after_unknown(call, "no_answer")
+            self.book.doubt(endpoint)
+            self.let_go(call)
+            return self.after_not_run(call)
+        load = told_load(lines)
+        if load is not None:
+            endpoint.told, endpoint.told_at = load, now()
+        self.holding(way.service).ended(now() - begun)
+        if status == 503 and dict(lines).get(b"md-verdict") == b"not-run":
+            self.let_go(call)
+            self.count("endpoint.busy")
+            return self.after_not_run(call, "busy")
+        call.outcome = Answer(status, passed_on(lines), body)
+        return None
+
+    def after_unknown(self, call, code):
+        again = self.endpoint_step
+        if call.endpoint is None or not call.endpoint.present:
+            self.let_go(call)
+            again = self.choose_step if call.home else None
+        if again is None:
+            call.may_have_run = True
+            call.refuse(code)
+            return None
+        return self.unknown(call, code, again, call.endpoint_tries <= call.way.endpoint[1])
+
+    def after_not_run(self, call, code="unreachable"):
+        """The endpoint surely didn't run it: a home may look again, a neighbour says so."""
+        if call.home and call.endpoint_tries <= call.way.endpoint[1] and now() < call.due:
+            if code == "busy":
+                call.refuse("busy")
+                return None
+            return self.choose_step
+        call.refuse(code)
+        return None
+
+    def endpoint_lines(self, call, endpoint, due):
+        return [
+            *call.headers,
+            (b"md-call", call.id.encode()),
+            (b"md-caller", call.caller.encode()),
+            (b"md-service", endpoint.service.encode()),
+            (b"md-incarnation", endpoint.incarnation.encode()),
+            (b"md-due", str(max(0, due - now())).encode()),
+            *([(b"md-key", call.key.encode())] if call.key else []),
+        ]
+
+    async def connection(self, endpoint, service):
+        """One that is free, or a new one, which proves service and incarnation first."""
+        while endpoint.idle:
+            connection = endpoint.idle.pop()
+            if not connection.stale():
+                return connection
+            await connection.close()
+        connection = self.node.seams.net.http(endpoint.address)
+        if service["identity"]:
+            try:
+                status, _, body = await connection.request("GET", "/md/identity", [], b"")
+            except HttpBreakdown as broken:
+                raise HttpBreakdown(False, broken) from broken  # no byte of the call was sent
+            want = {"service": endpoint.service, "incarnation": endpoint.incarnation}
+            if status != 200 or not holds(body, want):
+                await connection.close()
+                self.node.log(405, address=endpoint.address, why="identity")
+                self.book.lose(endpoint, "identity")
+                raise HttpBreakdown(False, "another process answers there")
+        if endpoint.gone:
+            await connection.close()
+            raise HttpBreakdown(False, "endpoint is gone")
+        return connection
+
+    def keep(self, endpoint, connection):
+        if not endpoint.gone and not connection.stale() and len(endpoint.idle) < endpoint.capacity:
+            endpoint.idle.append(connection)
+        else:
+            self.book.closing.append(connection)
+
+    async def close_loop(self):
+        while True:
+            self.book.expire(now())
+            closing, self.book.closing = self.book.closing, []
+            for connection in closing:
+                await connection.close()
+            await rest(50 * MILLI)
+
+
+def holds(body, want):
+    try:
+        facts = json.loads(body)
+    except ValueError:
+        return False
+    return isinstance(facts, dict) and all(facts.get(k) == v for k, v in want.items())
--- /dev/null
+++ b/packages/mdreg/mdreg/__init__.py
@@ -0,0 +1,1 @@
+"""Core: who is alive, the load collector, duties by key."""
--- /dev/null
+++ b/packages/mdreg/mdreg/part.py
@@ -0,0 +1,190 @@
+"""mdreg: beats come in, lists go out."""
+
+from __future__ import annotations
+
+from mdhttp import Table
+from mdreg.duty import owner
+from mdseam import MILLI, SECOND, now, rest
+from mdwire import Breakdown, Handlers, Shed
+
+BEAT = 500 * MILLI
+ALIVE = 2 * SECOND
+SETTLE = SECOND  # a duty is claimed once this node was its owner for so long
+INTERVAL = 500 * MILLI  # until a manifest tells another
+COLLECTOR = "collector"
+
+
+class Part:
+    """Invariants: roster and regs hold the newest beat of each address; epoch is not None iff
+    this process holds the collector's duty, under that epoch; seq goes up within an epoch."""
+
+    table = Table()
+    handlers = Handlers()
+
+    def __init__(self, node):
+        self.node = node
+        self.roster = {}  # proxies: address -> (beat, heard)
+        self.regs = {}  # other mdregs: address -> (beat, heard)
+        self.epoch = None
+        self.seen_epoch = 0
+        self.seq = 0
+        self.mine_since = None
+        self.interval = 0, INTERVAL  # of the newest manifest that a proxy has in force
+        self.last = {"asked": 0, "answered": 0, "at": 0, "refused": 0}
+        self.cadence = now()
+
+    def answers(self):
+        return Part.handlers.bound(self)
+
+    async def begin(self):
+        pass
+
+    def loops(self):
+        return {"beat": self.beat_loop, "duty": self.duty_loop, "collect": self.collect_loop}
+
+    def not_ready(self):
+        return [] if self.node.view.core("mdconf") else ["no mdconf known"]
+
+    def alive(self, known):
+        return sorted(a for a, (_, heard) in known.items() if now() - heard <= ALIVE)
+
+    # ------------------------------------------------------------ who is alive
+
+    @handlers.on("reg.beat")
+    async def on_beat(self, peer, beat):
+        known = self.roster if beat["role"] == "mdproxy" else self.regs
+        address = beat["address"]
+        held = known.get(address)
+        if held is not None and beat["incarnation"] < held[0]["incarnation"]:
+            raise Shed("old_incarnation")
+        if beat["leaving"]:
+            known.pop(address, None)
+            return {}
+        if held is None or held[0]["incarnation"] != beat["incarnation"]:
+            self.node.log(301, peer=address, role=beat["role"], incarnation=beat["incarnation"])
+        known[address] = (beat, now())
+        if beat["role"] == "mdreg":
+            self.learn_epoch(beat["seen_epoch"])
+        elif beat["interval_us"]:
+            self.interval = max(self.interval, (beat["version"], beat["interval_us"]))
+        return {}
+
+    def learn_epoch(self, epoch):
+        self.seen_epoch = max(self.seen_epoch, epoch)
+        if self.epoch is not None and self.seen_epoch > self.epoch:
+            self.node.log(702, duty=COLLECTOR, epoch=self.epoch, seen=self.seen_epoch)
+            self.epoch = None
+            self.mine_since = None
+
+    @handlers.on("reg.roster")
+    async def on_roster(self, peer, _):
+        return self.told()
+
+    def told(self):
+        at = now()
+        return {
+            "reg": self.node.boot.link,
+            "proxies": {
+                a: {**beat, "heard_us_ago": at - heard} for a, (beat, heard) in self.roster.items()
+            },
+            "regs": self.alive(self.regs) + [self.node.boot.link],
+            "collector": self.epoch,
+            "seen_epoch": self.seen_epoch,
+            "last": self.last,
+        }
+
+    async def beat_loop(self):
+        while True:
+            for known in (self.roster, self.regs):
+                for address, (beat, heard) in list(known.items()):
+                    if now() - heard > ALIVE:
+                        del known[address]
+                        self.node.log(302, peer=address, role=beat["role"], why="silent")
+            await self.tell()
+            await rest(BEAT)
+
+    async def tell(self):
+        me = self.node.view.me
+        beat = {
+            "address": me.address,
+            "role": "mdreg",
+            "hall": me.hall,
+            "incarnation": me.incarnation,
+            "leaving": self.node.stopping,
+            "seen_epoch": self.seen_epoch,
+        }
+        others = self.node.view.core("mdreg")
+        await self.node.links.call_all({a: (a, "reg.beat", beat) for a in others}, now() + BEAT)
+
+    # ------------------------------------------------------------ the collector's duty
+
+    async def duty_loop(self):
+        """Wanted: the owner by key holds the duty. Claims an epoch when that is this process."""
+        while True:
+            live = [*self.alive(self.regs), self.node.boot.link]
+            mine = owner(COLLECTOR, live) == self.node.boot.link and not self.node.stopping
+            self.mine_since = (self.mine_since or now()) if mine else None
+            if mine and self.epoch is None and now() - self.mine_since >= SETTLE:
+                await self.claim()
+            await rest(200 * MILLI)
+
+    async def claim(self):
+        confs = self.node.view.core("mdconf")
+        self.node.seams.rng.shuffle(confs)
+        for address in confs[:2]:
+            try:
+                told = await self.node.links.call(
+                    address,
+                    "duty.claim",
+                    {"key": COLLECTOR, "holder": f"{self.node.boot.link}/{self.node.incarnation}"},
+                    now() + SECOND,
+                )
+            except (Breakdown, Shed):
+                continue
+            self.epoch, self.seq = told["epoch"], 0
+            self.learn_epoch(self.epoch)
+            self.node.log(701, duty=COLLECTOR, epoch=self.epoch)
+            await self.tell()
+            return
+
+    async def collect_loop(self):
+        """Each interval: ask all at once, wait for every answer up to a due, one list to all."""
+        while True:
+            if self.epoch is not None and not self.node.stopping:
+                await self.collect()
+            interval = self.interval[1]
+            self.cadence = max(self.cadence + interval, now() - interval)
+            await rest(self.cadence - now())
+
+    async def collect(self):
+        interval, epoch = self.interval[1], self.epoch
+        nodes = self.alive(self.roster)
+        told = await self.node.links.call_all(
+            {a: (a, "load.ask", None) for a in nodes}, now() + interval * 6 // 10
+        )
+        answered = {a: t for a, t in told.items() if not isinstance(t, Exception)}
+        if self.epoch != epoch:
+            return
+        self.seq += 1
+        combined = {"epoch": epoch, "seq": self.seq, "nodes": answered}
+        sent = await self.node.links.call_all(
+            {a: (a, "load.list", combined) for a in nodes}, now() + interval * 3 // 10
+        )
+        refusals = [s for s in sent.values() if isinstance(s, Shed) and s.code == "old_epoch"]
+        self.last = {
+            "asked": len(nodes),
+            "answered": len(answered),
+            "at": self.node.seams.wall(),
+            "refused": len(refusals),
+        }
+        if refusals:
+            self.learn_epoch(max(s.facts["epoch"] for s in refusals))
+
+    # ------------------------------------------------------------ stop
+
+    async def leaving(self):
+        self.epoch = None
+        await self.tell()
+
+    async def drained(self):
+        pass
--- /dev/null
+++ b/packages/mdregister/mdregister/__init__.py
@@ -0,0 +1,10 @@
+"""A register of keys, kept on a majority of disks: prepare, then write, by ballots.
+
+No log and no leader: each change of a key reads the highest accepted value from a majority that
+promised its ballot, and writes the new value to a majority under the same ballot.
+"""
+
+from mdregister.keeper import Keeper, Lost, sealed, unsealed
+from mdregister.proposer import NoMajority, Proposer, Unclear
+
+__all__ = ["Keeper", "Lost", "NoMajority", "Proposer", "Unclear", "sealed", "unsealed"]
--- /dev/null
+++ b/packages/mdregister/mdregister/keeper.py
@@ -0,0 +1,116 @@
+"""A member's side: promises and accepted values on its own disk, durable before any answer."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+
+import ormsgpack
+import trio
+
+from mdseam import fingerprint
+
+ZERO = (0, "")
+
+
+class Lost(Exception):
+    """The file of a key failed its fingerprint: this member can't vote on the key."""
+
+
+def sealed(body):
+    return hashlib.blake2b(body, digest_size=32).digest() + body
+
+
+def unsealed(data):
+    """The body, or None if the file is torn or altered.
+
+    >>> unsealed(sealed(b"x")), unsealed(sealed(b"x")[:-1]), unsealed(b"")
+    (b'x', None, None)
+    """
+    if data is None or len(data) < 32:
+        return None
+    body = data[32:]
+    return body if hashlib.blake2b(body, digest_size=32).digest() == data[:32] else None
+
+
+@dataclass(frozen=True)
+class Cell:
+    # Invariants: accepted <= promised; value belongs to accepted; file counts the versions of
+    # the file that holds this cell, and is on disk before the cell is in Keeper.cells.
+    promised: tuple = ZERO
+    accepted: tuple = ZERO
+    value: object = None
+    file: int = 0
+
+
+class Keeper:
+    def __init__(self, disk, log):
+        self.disk, self.log = disk, log
+        self.cells = {}  # key -> Cell, or None when lost
+        self.locks = {}
+
+    async def load(self):
+        """Read all keys. Of several versions of one key the newest counts; if that one is
+        damaged the key is lost here, since an older version would forget promises."""
+        for folder in await self.disk.names("key"):
+            versions = await self.disk.names(f"key/{folder}")
+            if not versions:
+                continue
+            newest = max(versions)
+            body = unsealed(await self.disk.read(f"key/{folder}/{newest}"))
+            if body is None:
+                self.log(602, folder=folder, file=newest)
+                self.cells[folder] = None
+                continue
+            key, promised, accepted, value = ormsgpack.unpackb(body)
+            self.cells[folder] = Cell(tuple(promised), tuple(accepted), value, int(newest))
+            await self.sweep(folder, newest)
+
+    async def sweep(self, folder, newest):
+        for version in await self.disk.names(f"key/{folder}"):
+            if version < newest:
+                await self.disk.remove(f"key/{folder}/{version}")
+
+    def cell(self, key):
+        cell = self.cells.get(fingerprint(key.encode()), Cell())
+        if cell is None:
+            raise Lost(key)
+        return cell
+
+    def lost(self):
+        return sorted(folder for folder, cell in self.cells.items() if cell is None)
+
+    async def keep(self, key, promised, accepted, value):
+        folder = fingerprint(key.encode())
+        old = self.cells.get(folder, Cell()).file
+        body = ormsgpack.packb([key, promised, accepted, value])
+        await self.disk.write(f"key/{folder}/{old + 1:012d}", sealed(body))
+        self.cells[folder] = Cell(promised, accepted, value, old + 1)
+        if old:
+            await self.disk.remove(f"key/{folder}/{old:012d}")
+
+    def lock(self, key):
+        return self.locks.setdefault(key, trio.Lock())
+
+    async def prepare(self, key, ballot):
+        """("yes", accepted, value) once promised on disk, or ("no", the higher promise)."""
+        async with self.lock(key):
+            cell = self.cell(key)
+            if ballot <= cell.promised:
+                return "no", cell.promised, None
+            await self.keep(key, ballot, cell.accepted, cell.value)
+            return "yes", cell.accepted, cell.value
+
+    async def write(self, key, ballot, value):
+        async with self.lock(key):
+            cell = self.cell(key)
+            if ballot < cell.promised:
+                return "no", cell.promised
+            if ballot == cell.accepted:
+                return "yes", ballot
+            await self.keep(key, ballot, ballot, value)
+            return "yes", ballot
+
+    def read(self, key):
+        cell = self.cell(key)
+        return cell.accepted, cell.value
--- /dev/null
+++ b/packages/mdseam/mdseam/disk.py
@@ -0,0 +1,110 @@
+"""Files below one data folder. A write lasts once `write` has returned, and is whole or absent.
+
+>>> import trio
+>>> disk = MemoryDisk()
+>>> trio.run(disk.write, "a/x", b"1"); trio.run(disk.names, "a")
+['x']
+>>> trio.run(disk.read, "a/x")
+b'1'
+"""
+
+from __future__ import annotations
+
+import os
+
+import trio
+
+
+class Disk:
+    """The real one: written aside, synced, renamed, and the folder synced."""
+
+    # Invariant: a name that ends in ".aside" is never read; it is a write that did not finish.
+    def __init__(self, root):
+        self.root = os.path.abspath(root)
+        os.makedirs(self.root, exist_ok=True)
+
+    def path(self, name):
+        return os.path.join(self.root, name)
+
+    async def write(self, name, data):
+        await trio.to_thread.run_sync(self.put, name, data)
+
+    async def read(self, name):
+        return await trio.to_thread.run_sync(self.fetch, name)
+
+    async def names(self, folder):
+        return await trio.to_thread.run_sync(self.listed, folder)
+
+    async def remove(self, name):
+        await trio.to_thread.run_sync(self.drop, name)
+
+    def put(self, name, data):
+        path = self.path(name)
+        folder = os.path.dirname(path)
+        if not os.path.isdir(folder):
+            os.makedirs(folder, exist_ok=True)
+            sync_folder(os.path.dirname(folder))
+        with open(path + ".aside", "wb") as aside:
+            aside.write(data)
+            aside.flush()
+            os.fsync(aside.fileno())
+        os.rename(path + ".aside", path)
+        sync_folder(folder)
+
+    def fetch(self, name):
+        try:
+            with open(self.path(name), "rb") as kept:
+                return kept.read()
+        except FileNotFoundError:
+            return None
+
+    def listed(self, folder):
+        try:
+            return sorted(n for n in os.listdir(self.path(folder)) if not n.endswith(".aside"))
+        except FileNotFoundError:
+            return []
+
+    def drop(self, name):
+        try:
+            os.remove(self.path(name))
+        except FileNotFoundError:
+            pass
+
+
+def sync_folder(folder):
+    handle = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
+
+
+class MemoryDisk:
+    """Keeps everything at once; for tests that are not about the disk."""
+
+    def __init__(self):
+        self.files = {}
+
+    async def write(self, name, data):
+        await trio.lowlevel.checkpoint()
+        self.files[name] = data
+
+    async def read(self, name):
+        await trio.lowlevel.checkpoint()
+        return self.files.get(name)
+
+    async def names(self, folder):
+        await trio.lowlevel.checkpoint()
+        start = folder.rstrip("/") + "/"
+        return sorted(name[len(start) :] for name in self.files if name.startswith(start))
+
+    async def remove(self, name):
+        await trio.lowlevel.checkpoint()
+        self.files.pop(name, None)
+
+
+class NoDisk(MemoryDisk):
+    """For machines without a data folder: nothing is kept."""
+
+    async def write(self, name, data):
+        raise OSError("this process has no data folder")
--- /dev/null
+++ b/packages/mdslab/mdslab/__init__.py
@@ -0,0 +1,64 @@
+"""A slab: values kept in numbered slots, each reached by a handle of slot and generation.
+
+A handle that was freed never reaches the slot's next tenant.
+
+>>> slab = Slab()
+>>> first = slab.put("a")
+>>> slab.take(first)
+'a'
+>>> second = slab.put("b")
+>>> first[0] == second[0], first == second
+(True, False)
+>>> slab.get(first) is None, slab.get(second)
+(True, 'b')
+"""
+
+from __future__ import annotations
+
+
+class Slab:
+    # Invariants: generations[slot] grows by one at each take; values[slot] is VACANT iff
+    # slot is in vacant; a handle (slot, generation) is live iff generations[slot] equals it
+    # and the slot is not vacant.
+    VACANT = object()
+
+    def __init__(self):
+        self.values = []
+        self.generations = []
+        self.vacant = []
+
+    def __len__(self):
+        return len(self.values) - len(self.vacant)
+
+    def put(self, value):
+        if self.vacant:
+            slot = self.vacant.pop()
+            self.values[slot] = value
+        else:
+            slot = len(self.values)
+            self.values.append(value)
+            self.generations.append(0)
+        return slot, self.generations[slot]
+
+    def live(self, handle):
+        slot, generation = handle
+        return (
+            0 <= slot < len(self.values)
+            and self.generations[slot] == generation
+            and self.values[slot] is not Slab.VACANT
+        )
+
+    def get(self, handle):
+        return self.values[handle[0]] if self.live(handle) else None
+
+    def take(self, handle):
+        if not self.live(handle):
+            return None
+        slot = handle[0]
+        value, self.values[slot] = self.values[slot], Slab.VACANT
+        self.generations[slot] += 1
+        self.vacant.append(slot)
+        return value
+
+    def __iter__(self):
+        return (value for value in list(self.values) if value is not Slab.VACANT)
--- /dev/null
+++ b/packages/mdwire/mdwire/link.py
@@ -0,0 +1,349 @@
+"""Calls over links. Each link is owned by two tasks (writer, reader); others send it messages.
+
+What a call's breakdown says is exact in one direction: `sent` is False only if no byte of the
+call was handed to the socket.
+"""
+
+from __future__ import annotations
+
+import hmac
+from dataclasses import dataclass, field
+
+import ormsgpack
+import trio
+
+from mdseam import MILLI, SECOND, now, until
+from mdslab import Slab
+from mdwire.frame import Proof, Reader, derive, read_frame, write_frame
+
+MAGIC = "md1"
+GREETING_WAIT = SECOND
+SILENCE = 200 * MILLI
+BLANK = b"\x00" * 32
+CALL, ANSWER, SHED, CANCEL = range(4)
+BROKEN = (OSError, EOFError, ValueError, trio.BrokenResourceError, trio.ClosedResourceError)
+
+
+class Breakdown(Exception):
+    def __init__(self, sent, cause):
+        super().__init__(f"{'sent' if sent else 'unsent'}: {cause}")
+        self.sent = sent
+
+
+class Shed(Exception):
+    """The peer's handler refused: a code and facts."""
+
+    def __init__(self, code, **facts):
+        super().__init__(code)
+        self.code = code
+        self.facts = facts
+
+
+@dataclass(frozen=True)
+class Peer:
+    name: str
+    address: str  # where it can be reached, as it says itself under the fleet key
+
+
+def pack(value):
+    return ormsgpack.packb(value, option=ormsgpack.OPT_NON_STR_KEYS)
+
+
+def unpack(data):
+    return ormsgpack.unpackb(data, option=ormsgpack.OPT_NON_STR_KEYS)
+
+
+class Handlers:
+    """A table of what a process answers on links, filled by decorators."""
+
+    def __init__(self):
+        self.table = {}
+
+    def on(self, method):
+        def register(handler):
+            self.table[method] = handler
+            return handler
+
+        return register
+
+    def bound(self, owner):
+        """The table of a class, bound to one of its objects."""
+        made = Handlers()
+        made.table = {method: handler.__get__(owner) for method, handler in self.table.items()}
+        return made
+
+    def __or__(self, other):
+        made = Handlers()
+        made.table = {**self.table, **other.table}
+        return made
+
+
+# ---------------------------------------------------------------- greeting
+
+
+async def greet(stream, key, rng, me: Peer):
+    """The opener's side: proves itself and the peer; gives reader, proofs and the peer."""
+    mine = rng.randbytes(16)
+    reader = Reader(stream)
+    plain = Proof(BLANK, b"greeting-out"), Proof(BLANK, b"greeting-in")
+    await write_frame(stream, plain[0], pack([MAGIC, mine, me.name, me.address]))
+    theirs, name, proof = unpack(await read_frame(reader, plain[1]))
+    facts = (mine, theirs, me.name.encode(), me.address.encode(), name.encode())
+    if not hmac.compare_digest(proof, derive(key, b"answerer", *facts)):
+        raise ValueError("the peer doesn't know the fleet key")
+    await write_frame(stream, plain[0], pack(derive(key, b"opener", *facts)))
+    session = derive(key, b"session", *facts)
+    return reader, Proof(session, b"out"), Proof(session, b"in"), Peer(name, "")
+
+
+async def answer_greeting(stream, key, rng, name):
+    reader = Reader(stream)
+    plain = Proof(BLANK, b"greeting-in"), Proof(BLANK, b"greeting-out")
+    magic, theirs, peer_name, address = unpack(await read_frame(reader, plain[1]))
+    if magic != MAGIC:
+        raise ValueError("not a link of ours")
+    mine = rng.randbytes(16)
+    facts = (theirs, mine, peer_name.encode(), address.encode(), name.encode())
+    await write_frame(stream, plain[0], pack([mine, name, derive(key, b"answerer", *facts)]))
+    if not hmac.compare_digest(
+        unpack(await read_frame(reader, plain[1])), derive(key, b"opener", *facts)
+    ):
+        raise ValueError("the opener doesn't know the fleet key")
+    session = derive(key, b"session", *facts)
+    return reader, Proof(session, b"in"), Proof(session, b"out"), Peer(peer_name, address)
+
+
+# ---------------------------------------------------------------- answering side
+
+
+async def serve(stream, key, rng, name, handlers, log):
+    """One incoming link, until it ends. Handlers run as tasks of the link."""
+    async with stream:
+        try:
+            with trio.fail_after(GREETING_WAIT / SECOND):
+                reader, out, into, peer = await answer_greeting(stream, key, rng, name)
+        except (*BROKEN, trio.TooSlowError, TypeError, ormsgpack.MsgpackDecodeError) as cause:
+            if not isinstance(cause, EOFError):
+                log(201, cause=repr(cause))
+            return
+        send, holding = trio.open_memory_channel(1024)
+        # Invariant: running maps ids of calls being answered on this link to their scopes.
+        running = {}
+
+        async def write():
+            async for body in holding:
+                bodies = [body]
+                while len(bodies) < 64:
+                    try:
+                        bodies.append(holding.receive_nowait())
+                    except (trio.WouldBlock, trio.EndOfChannel):
+                        break
+                await stream.send_all(b"".join(out.seal(body) for body in bodies))
+
+        async def handle(id, method, args, left):
+            scope = running[id] = until(now() + left)
+            with scope:
+                try:
+                    handler = handlers.table.get(method)
+                    if handler is None:
+                        raise Shed("no_such_method", method=method)
+                    reply = pack([ANSWER, id, await handler(peer, args)])
+                except Shed as shed:
+                    reply = pack([SHED, id, shed.code, shed.facts])
+                except (KeyError, TypeError, IndexError, AttributeError) as cause:
+                    log(105, task=f"link:{method}", cause=repr(cause))
+                    reply = pack([SHED, id, "broke", {"cause": repr(cause)}])
+                running.pop(id, None)
+                await send.send(reply)
+            running.pop(id, None)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(write)
+            try:
+                while True:
+                    kind, id, *rest = unpack(await read_frame(reader, into))
+                    if kind == CALL:
+                        method, args, left = rest
+                        nursery.start_soon(handle, tuple(id), method, args, left)
+                    elif kind == CANCEL and tuple(id) in running:
+                        running[tuple(id)].cancel()
+            except BROKEN as cause:
+                if not isinstance(cause, EOFError):
+                    log(202, peer=peer.name, cause=repr(cause))
+            finally:
+                nursery.cancel_scope.cancel()
+
+
+# ---------------------------------------------------------------- asking side
+
+
+@dataclass
+class Pending:
+    # Invariant: sent is set before the first byte of the call is handed to the socket.
+    done: trio.Event = field(default_factory=trio.Event)
+    sent: bool = False
+    outcome: object = None
+
+
+class Link:
+    """An open link. Invariant: once broken is set no call is accepted and none is left pending."""
+
+    def __init__(self, peer, heard):
+        self.peer = peer
+        self.pending = Slab()
+        self.send, self.holding = trio.open_memory_channel(4096)
+        self.broken = None
+        self.retired = False
+        self.heard = heard
+
+    async def run(self, stream, reader, out, into):
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.write, stream, out)
+                nursery.start_soon(self.read, reader, into)
+        except BaseExceptionGroup as group:
+            known, rest = group.split(BROKEN)
+            self.fail(known.exceptions[0] if known else group)
+            if rest is not None:
+                raise
+        finally:
+            self.fail("closed")
+            await trio.aclose_forcefully(stream)
+
+    def fail(self, cause):
+        if self.broken is None:
+            self.broken = cause
+            for pending in self.pending:
+                pending.outcome = Breakdown(pending.sent, cause)
+                pending.done.set()
+
+    async def write(self, stream, out):
+        async for handle, body in self.holding:
+            frames = [(handle, body)]
+            while len(frames) < 64:
+                try:
+                    frames.append(self.holding.receive_nowait())
+                except (trio.WouldBlock, trio.EndOfChannel):
+                    break
+            # a call that was given up before its turn is left out: it never reaches the peer
+            live = [f for f in frames if f[0] is None or self.pending.live(f[0])]
+            for handle, _ in live:
+                if handle is not None:
+                    self.pending.get(handle).sent = True
+            if live:
+                await stream.send_all(b"".join(out.seal(body) for _, body in live))
+        raise EOFError("link left")
+
+    async def read(self, reader, into):
+        while True:
+            kind, id, *rest = unpack(await read_frame(reader, into))
+            self.heard = now()
+            pending = self.pending.get(tuple(id))
+            if pending is None:
+                continue  # given up, or an earlier tenant of the slot
+            if kind == ANSWER:
+                pending.outcome = rest[0]
+            else:
+                pending.outcome = Shed(rest[0], **rest[1])
+            pending.done.set()
+
+    async def call(self, method, args, due):
+        if self.broken is not None:
+            raise Breakdown(False, self.broken)
+        asked = now()
+        pending = Pending()
+        handle = self.pending.put(pending)
+        body = pack([CALL, handle, method, args, max(0, due - asked)])
+        try:
+            self.send.send_nowait((handle, body))
+        except trio.WouldBlock:
+            self.pending.take(handle)
+            raise Breakdown(False, "link is clogged") from None
+        try:
+            with until(due):
+                await pending.done.wait()
+        finally:
+            self.pending.take(handle)
+            if not pending.done.is_set() and pending.sent:
+                self.cancel(handle)
+                # silent for a whole call: new calls go over another link, pending ones may end
+                self.retired |= self.heard < asked and due <= now() and due - asked >= SILENCE
+            if self.retired and not len(self.pending):
+                self.send.close()
+        if not pending.done.is_set():
+            raise Breakdown(pending.sent, "no answer by the due")
+        if isinstance(pending.outcome, Exception):
+            raise pending.outcome
+        return pending.outcome
+
+    def cancel(self, handle):
+        try:
+            self.send.send_nowait((None, pack([CANCEL, handle])))
+        except (trio.WouldBlock, trio.ClosedResourceError):
+            pass
+
+
+def usable(link):
+    return link is not None and link.broken is None and not link.retired
+
+
+class Links:
+    """Links to peers, opened when first needed. Invariant: at most one opening per address."""
+
+    def __init__(self, nursery, net, key, rng, me, log, open_wait=500 * MILLI):
+        self.nursery, self.net, self.key, self.rng = nursery, net, key, rng
+        self.me, self.log, self.open_wait = me, log, open_wait
+        self.links = {}
+        self.opening = {}
+
+    async def call(self, address, method, args, due):
+        link = self.links.get(address)
+        if not usable(link):
+            link = await self.open(address, due)
+        return await link.call(method, args, due)
+
+    async def open(self, address, due):
+        while address in self.opening:
+            with until(due):
+                await self.opening[address].wait()
+            link = self.links.get(address)
+            if usable(link):
+                return link
+            if now() >= due:
+                raise Breakdown(False, "no link by the due")
+        self.opening[address] = trio.Event()
+        try:
+            with until(min(due, now() + self.open_wait)):
+                stream = await self.net.open_link(address)
+                try:
+                    reader, out, into, peer = await greet(stream, self.key, self.rng, self.me)
+                except BaseException:
+                    await trio.aclose_forcefully(stream)
+                    raise
+                link = self.links[address] = Link(peer, now())
+                self.nursery.start_soon(self.own, link, stream, reader, out, into)
+                return link
+            raise Breakdown(False, "no link by the due")
+        except (*BROKEN, TypeError, ormsgpack.MsgpackDecodeError) as cause:
+            raise Breakdown(False, cause) from cause
+        finally:
+            self.opening.pop(address).set()
+
+    async def own(self, link, stream, reader, out, into):
+        await link.run(stream, reader, out, into)
+        self.log(202, peer=link.peer.name, cause=str(link.broken))
+
+    async def call_all(self, asks, due):
+        """Ask many at once. asks: {key: (address, method, args)}; gives {key: answer or error}."""
+        answers = {}
+
+        async def one(key, address, method, args):
+            try:
+                answers[key] = await self.call(address, method, args, due)
+            except (Breakdown, Shed) as cause:
+                answers[key] = cause
+
+        async with trio.open_nursery() as nursery:
+            for key, ask in asks.items():
+                nursery.start_soon(one, key, *ask)
+        return answers
