Simulator: the daemons' own code on a virtual clock, net and disk; policy tables

A seed decides everything, trio's scheduling included; the same seed gives the same trace in processes with different hash seeds. A clock that rounded down made a scope that had ended look unfinished, and a waiting stream span without time passing: now() rounds to the nearest us.

--- a/packages/mdconf/mdconf/part.py
+++ b/packages/mdconf/mdconf/part.py
@@ -309,7 +309,7 @@
         bodies = await self.fetch(sorted(set(ranges)))
         if len(bodies) < len(set(ranges)):
             raise NoMajority("range files")
-        return await trio.to_thread.run_sync(lambda: assemble(bodies[name] for name in ranges))
+        return await self.node.seams.apart(lambda: assemble(bodies[name] for name in ranges))
 
     # ------------------------------------------------------------ operators
 
@@ -356,13 +356,13 @@
 
     async def make_plan(self, request):
         data = await request.body(SIZE_MAX)
-        found = await trio.to_thread.run_sync(checked, data)
+        found = await self.node.seams.apart(checked, data)
         if not is_successful(found):
             return Reply(422, {"code": "invalid", "errors": found.failure()})
         facts = found.unwrap()
         head = await self.read_head(now() + OPERATE)
         old = await self.manifest_of(head["ranges"]) if head["ranges"] else EMPTY
-        ranges = await trio.to_thread.run_sync(cut, facts)
+        ranges = await self.node.seams.apart(cut, facts)
         changes = difference(old, facts)
         names = [name for name, _ in ranges]
         if names == head["ranges"]:
--- a/packages/mdproxy/mdproxy/delivery.py
+++ b/packages/mdproxy/mdproxy/delivery.py
@@ -148,7 +148,7 @@
                 return False
             self.bodies.update(bodies)
             held = [self.bodies[f] for f in wanted]
-            routes = await trio.to_thread.run_sync(lambda: Routes(head["version"], assemble(held)))
+            routes = await self.node.seams.apart(lambda: Routes(head["version"], assemble(held)))
             if self.staged is None or routes.version > self.staged.routes.version:
                 self.staged = Staged(routes, head, now())
                 self.node.log(501, version=routes.version, fetched=len(missing))
--- a/packages/mdseam/mdseam/__init__.py
+++ b/packages/mdseam/mdseam/__init__.py
@@ -29,6 +29,7 @@
     "NoDisk",
     "Seams",
     "fingerprint",
+    "in_thread",
     "now",
     "rest",
     "until",
@@ -36,7 +37,7 @@
 
 
 def now():
-    return int(trio.current_time() * SECOND)
+    return round(trio.current_time() * SECOND)  # rounded: a scope that ended at x is not before x
 
 
 async def rest(us):
@@ -52,9 +53,15 @@
     return hashlib.blake2b(data, key=key, digest_size=16).hexdigest()
 
 
+async def in_thread(work, *args):
+    """Heavy work beside the loop, so that beats and calls go on meanwhile."""
+    return await trio.to_thread.run_sync(work, *args)
+
+
 @dataclass
 class Seams:
     net: Net
     disk: Disk = field(default_factory=NoDisk)
     rng: random.Random = field(default_factory=random.Random)
+    apart: object = in_thread
     wall: object = lambda: time.time_ns() // 1000  # only to order incarnations and for records
--- /dev/null
+++ b/packages/mdsim/mdsim/disk.py
@@ -0,0 +1,86 @@
+"""A disk whose power can go at any step.
+
+>>> import random, trio
+>>> disk = SimDisk(random.Random(1))
+>>> trio.run(disk.write, "a/x", b"1")
+>>> disk.power_off(); trio.run(disk.read, "a/x")
+b'1'
+"""
+
+from __future__ import annotations
+
+import trio
+
+from mdseam import rest
+
+
+class PowerLost(BaseException):
+    """Ends the process that was writing."""
+
+
+class SimDisk:
+    """Invariants: lasting is what a power loss leaves; files is what the running process sees.
+    A write goes aside, is synced, is renamed, and the folder is synced: only then it lasts.
+    Between rename and the folder's sync a power loss keeps either the old or the new state."""
+
+    STEPS = ("aside", "synced", "renamed", "folder")
+
+    def __init__(self, rng, step_us=300):
+        self.rng, self.step_us = rng, step_us
+        self.files, self.lasting = {}, {}
+        self.stalled = None  # an event while the disk stalls
+        self.full = False
+        self.steps = 0
+        self.lose_at = None  # the step count at which the power goes
+        self.on_loss = None
+
+    async def step(self):
+        if self.stalled is not None:
+            await self.stalled.wait()
+        await rest(self.step_us)
+        self.steps += 1
+        if self.lose_at is not None and self.steps >= self.lose_at:
+            self.lose_at = None
+            if self.on_loss:
+                self.on_loss()
+            await trio.sleep_forever()
+
+    async def write(self, name, data):
+        if self.full:
+            raise OSError(28, "no space left")
+        # like a thread that can't be called back: a cancel takes effect after the write
+        with trio.CancelScope(shield=True):
+            await self.step()
+            await self.step()
+            self.files[name] = data
+            if self.rng.random() < 0.5:  # the rename may or may not reach the disk by itself
+                self.lasting[name] = data
+            await self.step()
+            self.lasting[name] = data
+            await self.step()
+
+    async def read(self, name):
+        await trio.lowlevel.checkpoint()
+        return self.files.get(name)
+
+    async def names(self, folder):
+        await trio.lowlevel.checkpoint()
+        start = folder.rstrip("/") + "/"
+        return sorted({n[len(start) :].split("/")[0] for n in self.files if n.startswith(start)})
+
+    async def remove(self, name):
+        await trio.lowlevel.checkpoint()
+        self.files.pop(name, None)
+        if self.rng.random() < 0.5:  # a removal that isn't synced may come undone
+            self.lasting.pop(name, None)
+
+    # ------------------------------------------------------------ faults
+
+    def power_off(self):
+        self.files = dict(self.lasting)
+
+    def rot(self, name):
+        data = self.files[name]
+        spot = self.rng.randrange(len(data))
+        bad = data[:spot] + bytes([data[spot] ^ 1]) + data[spot + 1 :]
+        self.files[name] = self.lasting[name] = bad
--- /dev/null
+++ b/packages/mdsim/mdsim/net.py
@@ -0,0 +1,249 @@
+"""A network in memory: delay, cuts in one direction or both, resets, processes that vanish."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import trio
+
+from mdseam import Address, HttpBreakdown, now, rest, until
+
+
+class Web:
+    """Invariant: cuts holds ordered pairs of hosts; what is sent over a cut pair waits, as TCP
+    would keep sending it, and arrives after the cut is healed unless an end is gone."""
+
+    def __init__(self, rng, delay_us=(200, 1500)):
+        self.rng, self.delay_us = rng, delay_us
+        self.links = {}  # address -> (nursery, handler, net)
+        self.apps = {}  # address -> (app, net)
+        self.cuts = set()
+        self.healed = trio.Event()
+
+    def delay(self):
+        return self.rng.randrange(*self.delay_us)
+
+    def cut(self, a, b, both=True):
+        self.cuts |= {(a, b), *([(b, a)] if both else [])}
+
+    def heal(self):
+        self.cuts = set()
+        self.healed.set()
+        self.healed = trio.Event()
+
+    async def carry(self, a, b):
+        """The time on the way from a to b; longer than any cut between them."""
+        await rest(self.delay())
+        while (a, b) in self.cuts:
+            await self.healed.wait()
+
+
+class Half(trio.abc.Stream):
+    """One end. Invariant: inbox is in order; each item carries its earliest arrival."""
+
+    def __init__(self, web, here, there):
+        self.web, self.here, self.there = web, here, there
+        self.inbox, self.news = deque(), trio.Event()
+        self.other = None
+        self.closed = self.broken = False
+
+    async def send_all(self, data):
+        await trio.lowlevel.checkpoint()
+        if self.closed:
+            raise trio.ClosedResourceError
+        if self.broken or self.other.closed:
+            raise trio.BrokenResourceError
+        self.other.arrive(bytes(data))
+
+    def arrive(self, data):
+        last = self.inbox[-1][0] if self.inbox else 0
+        self.inbox.append((max(last, now() + self.web.delay()), data))
+        self.news.set()
+
+    async def receive_some(self, max_bytes=None):
+        while True:
+            await trio.lowlevel.checkpoint()
+            if self.closed:
+                raise trio.ClosedResourceError
+            if self.broken:
+                raise trio.BrokenResourceError
+            if self.inbox:
+                at, data = self.inbox[0]
+                if (self.there, self.here) in self.web.cuts:
+                    await self.wait(self.web.healed)
+                elif now() < at:
+                    with until(at):
+                        await self.news_or_forever()
+                else:
+                    self.inbox.popleft()
+                    return data
+            else:
+                await self.wait(self.news)
+
+    async def wait(self, event):
+        await event.wait()
+        if event is self.news:
+            self.news = trio.Event()
+
+    async def news_or_forever(self):
+        await trio.sleep_forever()
+
+    async def wait_send_all_might_not_block(self):
+        await trio.lowlevel.checkpoint()
+
+    async def aclose(self):
+        if not self.closed:
+            self.closed = True
+            self.news.set()
+            if not self.other.closed:
+                self.other.arrive(b"")
+        await trio.lowlevel.checkpoint()
+
+    def reset(self):
+        self.broken = True
+        self.news.set()
+
+
+class SimNet:
+    """The network seam of one process. Invariant: halves holds its open ends; a killed process's
+    ends are all reset, and its listeners are gone."""
+
+    def __init__(self, web, host):
+        self.web, self.host = web, host
+        self.halves = set()
+        self.alive = True
+
+    async def serve_links(self, address, handler, task_status=trio.TASK_STATUS_IGNORED):
+        async with trio.open_nursery() as nursery:
+            self.web.links[address] = (nursery, handler, self)
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def open_link(self, address):
+        there = Address(address).host
+        await self.web.carry(self.host, there)
+        await self.web.carry(there, self.host)
+        found = self.web.links.get(address)
+        if found is None or not found[2].alive:
+            raise ConnectionRefusedError(address)
+        nursery, handler, net = found
+        mine, theirs = Half(self.web, self.host, there), Half(self.web, there, self.host)
+        mine.other, theirs.other = theirs, mine
+        self.halves.add(mine)
+        net.halves.add(theirs)
+        nursery.start_soon(handler, theirs)
+        return mine
+
+    async def serve_http(
+        self, app, address, stopping, grace_us, task_status=trio.TASK_STATUS_IGNORED
+    ):
+        self.web.apps[address] = (app, self)
+        task_status.started()
+        await stopping.wait()
+        if self.web.apps.get(address, (None, None))[1] is self:
+            del self.web.apps[address]
+        with until(now() + grace_us):
+            await app.idle()
+
+    def http(self, address, limit=4 << 20):
+        return SimHttp(self, Address(address))
+
+    def vanish(self):
+        """As a killed process: its ends are reset, its addresses refuse."""
+        self.alive = False
+        for half in self.halves:
+            half.closed = True
+            half.other.reset()
+        for table in (self.web.links, self.web.apps):
+            for address in [a for a, found in table.items() if found[-1] is self]:
+                del table[address]
+
+
+class SimHttp:
+    """One connection, at the level of requests: the other side's app is called in a task of its
+    own, since a caller that hangs up does not stop what the other side does."""
+
+    def __init__(self, net, address):
+        self.net, self.address = net, address
+        self.app = None
+        self.closed = False
+
+    def stale(self):
+        return self.closed or (self.app is not None and not self.app[1].alive)
+
+    async def request(self, method, target, headers, body, started=None):
+        web, here, there = self.net.web, self.net.host, self.address.host
+        sent = False
+        whole = False
+        try:
+            if self.app is None:
+                await web.carry(here, there)
+                await web.carry(there, here)
+                self.app = web.apps.get(self.address)
+                if self.app is None or not self.app[1].alive:
+                    raise HttpBreakdown(False, "refused")
+            app, net = self.app
+            if not net.alive:
+                raise HttpBreakdown(False, "reset")
+            sent = True
+            if started:
+                started()
+            answer = await self.exchange(app, net, method, target, headers, body)
+            await web.carry(there, here)
+            if answer is None or not self.net.alive:
+                raise HttpBreakdown(sent, "connection lost")
+            whole = True
+            return answer
+        finally:
+            if not whole:
+                self.closed = True
+
+    async def exchange(self, app, net, method, target, headers, body):
+        web, here, there = self.net.web, self.net.host, self.address.host
+        path, _, query = target.partition("?")
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "raw_path": path.encode(),
+            "query_string": query.encode(),
+            "headers": [(n.lower(), v) for n, v in headers]
+            + [(b"content-length", str(len(body)).encode())],
+            "client": (here, 1),
+        }
+        hung, done = trio.Event(), trio.Event()
+        events = deque([{"type": "http.request", "body": body, "more_body": False}])
+        told = []
+
+        async def receive():
+            if events:
+                return events.popleft()
+            await hung.wait()
+            return {"type": "http.disconnect"}
+
+        async def send(event):
+            told.append(event)
+
+        async def serve():
+            try:
+                await web.carry(here, there)
+                if net.alive:
+                    await app(scope, receive, send)
+            except Exception:
+                told.clear()
+            finally:
+                done.set()
+
+        net.home.start_soon(serve)
+        try:
+            await done.wait()
+        finally:
+            hung.set()
+        if not net.alive or not told or told[-1].get("more_body"):
+            return None
+        start = told[0]
+        return start["status"], start["headers"], b"".join(e.get("body", b"") for e in told[1:])
+
+    async def close(self):
+        self.closed = True
+        await trio.lowlevel.checkpoint()
--- /dev/null
+++ b/packages/mdsim/mdsim/world.py
@@ -0,0 +1,242 @@
+"""A world of processes under one seed. `run` gives the same trace for the same seed."""
+
+from __future__ import annotations
+
+import io
+import json
+import random
+
+import trio
+import trio.testing
+
+from mdboot import checked
+from mdconf.part import Part as Conf
+from mdlib import Client, Endpoint
+from mdlog import Log
+from mdnode import Node
+from mdproxy.part import Part as Proxy
+from mdreg.part import Part as Reg
+from mdseam import MILLI, SECOND, Seams, now, rest
+from mdsim.disk import SimDisk
+from mdsim.net import SimNet, Web
+
+PARTS = {"mdproxy": Proxy, "mdreg": Reg, "mdconf": Conf}
+KEY = "5a" * 32
+WALL = 1_700_000_000 * SECOND
+
+
+async def inline(work, *args):
+    await trio.lowlevel.checkpoint()
+    return work(*args)
+
+
+class Trace(io.StringIO):
+    """Takes the processes' log lines, with the virtual time."""
+
+    def __init__(self):
+        super().__init__()
+        self.lines = []
+
+    def write(self, text):
+        if text.strip():
+            self.lines.append((now(), json.loads(text)))
+
+    def events(self, *numbers):
+        return [(at, line) for at, line in self.lines if line["number"] in numbers]
+
+
+class Process:
+    """Invariant: scope is the whole process; once it is cancelled its net is gone."""
+
+    def __init__(self, world, name, host):
+        self.world, self.name, self.host = world, name, host
+        self.net = SimNet(world.web, host)
+        self.scope = trio.CancelScope()
+        self.up, self.over = trio.Event(), trio.Event()
+        self.node = None
+
+    async def run(self, work):
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                self.net.home = nursery
+                await work(self, nursery)
+        self.net.vanish()
+        self.over.set()
+
+    def kill(self):
+        self.net.vanish()
+        self.scope.cancel()
+
+
+class World:
+    """Invariant: everything random comes from rng, everything timed from the virtual clock."""
+
+    def __init__(self, seed, nursery):
+        self.seed, self.nursery = seed, nursery
+        self.rng = random.Random(seed)
+        self.web = Web(random.Random(f"web{seed}"))
+        self.trace = Trace()
+        self.disks, self.processes = {}, {}
+        self.core, self.application = [], {}
+        self.halls = {}
+        self.started = 0
+
+    # ------------------------------------------------------------ places
+
+    def place(self, core=3, application=("desk", "desk")):
+        self.core = [f"10.0.0.{n}" for n in range(1, core + 1)]
+        self.application = {f"10.0.1.{n}": s for n, s in enumerate(application, 1)}
+        hosts = [*self.core, *self.application]
+        self.halls = {host: "abc"[index % 3] for index, host in enumerate(hosts)}
+
+    def boot(self, role, host):
+        facts = {
+            "host": host,
+            "hall": self.halls[host],
+            "seeds": [f"{h}:7411" for h in self.core[:3]],
+            "fleet_key": KEY,
+            "nodes_expected": max(1, len(self.application)),
+        }
+        if role == "mdconf":
+            facts |= {"data": "sim", "members": [f"{h}:7421" for h in self.core]}
+        return checked(role, facts)
+
+    # ------------------------------------------------------------ processes
+
+    def launch(self, name, host, work):
+        process = self.processes[name] = Process(self, name, host)
+        self.nursery.start_soon(process.run, work)
+        return process
+
+    async def start(self, role, host):
+        boot = self.boot(role, host)
+        disk = self.disks.setdefault((role, host), SimDisk(random.Random(f"{host}{self.seed}")))
+        self.started += 1
+        rng = random.Random(f"{role}{host}{self.started}{self.seed}")
+
+        async def work(process, nursery):
+            wall = lambda: WALL + now()  # noqa: E731
+            seams = Seams(process.net, disk, rng, apart=inline, wall=wall)
+            process.node = Node(boot, seams, nursery, Log(boot.name, self.trace, timed=False))
+            disk.on_loss = process.kill
+            await nursery.start(process.node.run, PARTS[role])
+            process.up.set()
+
+        process = self.launch(f"{role}@{host}", host, work)
+        await process.up.wait()
+        return process
+
+    async def stop(self, name):
+        """As the platform's polite signal."""
+        process = self.processes.pop(name)
+        begun = now()
+        process.node.asked.set()
+        await process.over.wait()
+        return now() - begun
+
+    def kill(self, name):
+        self.processes.pop(name).kill()
+
+    def power_off(self, role, host):
+        self.processes.pop(f"{role}@{host}").kill()
+        self.disks[role, host].power_off()
+
+    def lose_disk(self, role, host):
+        del self.disks[role, host]
+
+    async def whole(self):
+        async with trio.open_nursery() as nursery:
+            for host in self.core:
+                nursery.start_soon(self.start, "mdreg", host)
+                nursery.start_soon(self.start, "mdconf", host)
+            for host in self.application:
+                nursery.start_soon(self.start, "mdproxy", host)
+
+    def node(self, role, host):
+        return self.processes[f"{role}@{host}"].node
+
+    def part(self, role, host):
+        return self.node(role, host).part
+
+    # ------------------------------------------------------------ endpoints and callers
+
+    async def endpoint(self, host, service, handler, port=8000, capacity=4, load=None, wait=True):
+        address = f"{host}:{port}"
+        self.started += 1
+        made = Endpoint(
+            None,
+            service,
+            address,
+            f"{host}:7400",
+            f"i{self.started}",
+            handler,
+            capacity,
+            load,
+        )
+
+        async def work(process, nursery):
+            made.net = process.net
+            await nursery.start(made.serve, trio.Event())
+            process.up.set()
+            nursery.start_soon(made.run)
+
+        process = self.launch(f"endpoint@{address}", host, work)
+        await process.up.wait()
+        if wait:
+            await made.enrolled.wait()
+        return made
+
+    def client(self, host, token=None):
+        net = SimNet(self.web, host)
+        net.home = self.nursery
+        return Client(net, f"{host}:7400", token)
+
+    async def http(self, host, method, address, path, facts=None, headers=()):
+        """One plain request; gives (status, headers, facts)."""
+        net = SimNet(self.web, host)
+        net.home = self.nursery
+        body = facts if isinstance(facts, bytes) else json.dumps(facts).encode() if facts else b""
+        status, lines, answer = await net.http(address).request(method, path, list(headers), body)
+        return status, dict(lines), json.loads(answer) if answer else None
+
+    async def operate(self, method, path, facts=None, core=0):
+        host = self.core[core]
+        status, _, told = await self.http(host, method, f"{host}:7420", path, facts)
+        return status, told
+
+    async def configure(self, manifest, core=0):
+        """Plan and confirm; gives the version."""
+        status, planned = await self.operate("POST", "/plan", manifest, core)
+        assert status == 200, planned
+        status, told = await self.operate("POST", "/confirm", {"plan": planned["plan"]}, core)
+        assert status == 200, told
+        return told["version"]
+
+    async def eventually(self, check, within=10 * SECOND, every=20 * MILLI):
+        """Wait, in virtual time, until check() is true; gives how long that took."""
+        begun = now()
+        while not check():
+            if now() - begun > within:
+                raise AssertionError(f"not within {within} us: {check.__name__}")
+            await rest(every)
+        return now() - begun
+
+
+def run(scenario, seed=1, **places):
+    """Run `scenario(world)` under a seed; gives what it gives. Nothing here takes real time."""
+    order = trio._core._run  # trio has no public door to its scheduler's randomness
+    order._ALLOW_DETERMINISTIC_SCHEDULING = True
+    order._r.seed(seed)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            world = World(seed, nursery)
+            world.place(**places)
+            result = await scenario(world)
+            nursery.cancel_scope.cancel()
+            return result
+
+    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+__all__ = ["World", "run"]
--- /dev/null
+++ b/tests/facts.py
@@ -0,0 +1,45 @@
+"""Manifests for tests."""
+
+from __future__ import annotations
+
+
+def stage(wait_us, tries=1):
+    return {"wait_us": wait_us, "tries": tries}
+
+
+def budget(name="std", arrival=300_000, spill=200_000, endpoint=2_000_000, tries=1):
+    return {
+        "name": name,
+        "arrival": stage(arrival, tries),
+        "spill": stage(spill, tries),
+        "endpoint": stage(endpoint, tries),
+    }
+
+
+def way(
+    name, path, service="desk", callers=("guest",), methods=("GET",), repeat="safe", budget="std"
+):
+    return {
+        "name": name,
+        "callers": list(callers),
+        "service": service,
+        "methods": list(methods),
+        "path": path,
+        "repeat": repeat,
+        "budget": budget,
+    }
+
+
+def manifest(ways=None, services=("desk", "paper"), **load):
+    return {
+        "services": [{"name": s, "identity": True, "echo": True} for s in services],
+        "budgets": [budget()],
+        "ways": ways
+        or [
+            way("balances", "/balances"),
+            way("withdrawals", "/withdrawals", methods=("POST",), repeat="once"),
+            way("ledger", "/ledger", callers=("paper",)),
+            way("statements", "/statements", service="paper"),
+        ],
+        "load": load,
+    }
--- /dev/null
+++ b/tests/mesh.py
@@ -0,0 +1,56 @@
+"""Helpers over the simulated world."""
+
+from __future__ import annotations
+
+from facts import manifest
+
+from mdseam import MILLI, rest
+
+
+def answers(took_us=10 * MILLI, journal=None):
+    async def handle(got):
+        await rest(took_us)
+        if journal is not None:
+            journal.append(got)
+        return 200, {"path": got.path, "caller": got.caller}
+
+    return handle
+
+
+async def configured(world, facts=None):
+    """All daemons up, a manifest in force on every proxy."""
+    await world.whole()
+    for host in world.core:
+        await world.eventually(lambda h=host: not world.node("mdconf", h).not_ready())
+    await world.configure(facts or manifest())
+    for host in world.application:
+        await world.eventually(lambda h=host: not world.node("mdproxy", h).not_ready())
+
+
+async def serving(world, journal=None, facts=None, took_us=10 * MILLI, **endpoint):
+    """Configured, with an endpoint beside each proxy that has a service, and a load list out."""
+    await configured(world, facts)
+    made = [
+        await world.endpoint(host, service, answers(took_us, journal), **endpoint)
+        for host, service in world.application.items()
+        if service
+    ]
+    services = {s for s in world.application.values() if s}
+
+    def listed():
+        return all(
+            services <= set(world.part("mdproxy", h).walker.told_nodes)
+            and sum(map(len, world.part("mdproxy", h).walker.told_nodes.values())) == len(made)
+            for h in world.application
+        )
+
+    await world.eventually(listed)
+    return made
+
+
+def counts(world, host):
+    return world.part("mdproxy", host).walker.counts
+
+
+def hosts(world):
+    return list(world.application)
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,99 @@
+"""Conformance tables from the design page: what the policy must do, line by line."""
+
+from __future__ import annotations
+
+import pytest
+
+from mdload import Home, LoadList, Node, Wheel, best_omega, choose, relocation_overhead, state
+
+PHI, OMEGA, STALE = 0.8, 0.9, 2_000_000
+
+
+def nodes(**rho):
+    return tuple(Node(a, r, "i", False) for a, r in rho.items())
+
+
+@pytest.mark.parametrize(
+    ("rho", "phi", "omega", "expected"),
+    [
+        (0.0, 0.8, 0.9, "accepting"),
+        (0.799, 0.8, 0.9, "accepting"),
+        (0.8, 0.8, 0.9, "passive"),
+        (0.899, 0.8, 0.9, "passive"),
+        (0.9, 0.8, 0.9, "offloading"),
+        (1.0, 0.8, 0.9, "offloading"),
+        (0.974, 0.975, 0.975, "accepting"),  # phi = omega: no passive band
+        (0.975, 0.975, 0.975, "offloading"),
+    ],
+)
+def test_states(rho, phi, omega, expected):
+    assert state(rho, phi, omega) == expected
+
+
+@pytest.mark.parametrize(
+    ("x", "e", "f", "expected"),
+    [(0.5, 1000, 50, 0.9756), (0.0, 1000, 50, 1.0), (1.0, 1000, 50, 0.9524), (0.5, 1, 0, 1.0)],
+)
+def test_omega_of_the_two_node_case(x, e, f, expected):
+    assert round(best_omega(x, relocation_overhead(e, f)), 4) == expected
+
+
+# home rho, room, present | list | list's age | chosen kind, target, rule
+CHOICES = [
+    (0.0, True, True, nodes(b=0.0, c=0.0), 0, "home", None, "below-omega"),
+    (0.85, True, True, nodes(b=0.0), 0, "home", None, "below-omega"),
+    (0.9, True, True, nodes(b=0.0), 0, "spill", "b", "offloading"),
+    (1.0, True, True, nodes(b=0.79, c=0.0), 0, "spill", "b", "offloading"),
+    (1.0, True, True, nodes(b=0.8, c=0.1), 0, "spill", "c", "offloading"),
+    (1.0, True, True, nodes(b=0.8, c=0.95), 0, "home", None, "none-accept"),
+    (1.0, True, True, (), 0, "home", None, "none-accept"),
+    (1.0, True, True, (Node("b", 0.0, "i", True),), 0, "home", None, "none-accept"),
+    (1.0, True, True, nodes(a=0.0), 0, "home", None, "none-accept"),  # never to itself
+    (1.0, True, True, nodes(b=0.0), STALE + 1, "home", None, "stale"),
+    (0.5, False, True, nodes(b=0.0), 0, "spill", "b", "full"),
+    (0.5, False, True, nodes(b=0.0), STALE + 1, "spill", "b", "full"),
+    (0.5, False, True, nodes(b=0.85), 0, "shed", None, "full"),
+    (0.0, False, False, nodes(b=0.0), 0, "spill", "b", "gone"),
+    (0.0, False, False, nodes(b=0.85, c=0.95), 0, "spill", "b", "any-room"),
+    (0.0, False, False, nodes(c=0.95), 0, "spill", "c", "any-room"),
+    (0.0, False, False, nodes(b=1.0), 0, "shed", None, "gone"),
+    (0.0, False, False, (), 0, "shed", None, "gone"),
+]
+
+
+@pytest.mark.parametrize("row", CHOICES)
+def test_choices(row):
+    rho, room, present, listed, age, kind, target, rule = row
+    told = LoadList(1, 1, 0, listed)
+    chosen = choose(Home(rho, room, present), told, Wheel(), age, "a", PHI, OMEGA, STALE)
+    found = (chosen.kind, chosen.target and chosen.target.address, chosen.rule)
+    assert found == (kind, target, rule)
+
+
+def test_all_new_calls_spill_in_turn_while_offloading():
+    told, wheel = LoadList(1, 1, 0, nodes(d=0.1, b=0.1, c=0.1)), Wheel()
+    chosen = [
+        choose(Home(0.95, True), told, wheel, 0, "a", PHI, OMEGA, STALE).target.address
+        for _ in range(7)
+    ]
+    assert chosen == ["b", "c", "d", "b", "c", "d", "b"]
+
+
+def test_the_wheel_goes_on_over_a_changed_list():
+    wheel = Wheel()
+    first = choose(
+        Home(1, True), LoadList(1, 1, 0, nodes(b=0, c=0, d=0)), wheel, 0, "a", PHI, OMEGA, STALE
+    )
+    then = choose(
+        Home(1, True), LoadList(1, 2, 0, nodes(c=0, d=0)), wheel, 0, "a", PHI, OMEGA, STALE
+    )
+    last = choose(
+        Home(1, True), LoadList(1, 3, 0, nodes(b=0, c=0)), wheel, 0, "a", PHI, OMEGA, STALE
+    )
+    assert [c.target.address for c in (first, then, last)] == ["b", "c", "b"]
+
+
+def test_a_node_that_refused_is_not_asked_again():
+    told = LoadList(1, 1, 0, nodes(b=0.1, c=0.1))
+    chosen = choose(Home(1, True), told, Wheel(), 0, "a", PHI, OMEGA, STALE, tried=frozenset({"b"}))
+    assert chosen.target.address == "c"
