--- a/packages/mdconf/mdconf/part.py
+++ b/packages/mdconf/mdconf/part.py
@@ -546,6 +546,9 @@
 
     # ------------------------------------------------------------ stop
 
+    def hurried(self):
+        pass
+
     async def leaving(self):
         pass
 
--- a/packages/mdnode/mdnode/__init__.py
+++ b/packages/mdnode/mdnode/__init__.py
@@ -108,6 +108,7 @@
                 async def hurried():
                     await self.hurry.wait()
                     self.log(104)
+                    self.part.hurried()
                     nursery.cancel_scope.cancel()
 
                 nursery.start_soon(hurried)
--- a/packages/mdproxy/mdproxy/call.py
+++ b/packages/mdproxy/mdproxy/call.py
@@ -85,6 +85,7 @@
     endpoint: object = None  # whose slot is held
     target: object = None
     rules: list = field(default_factory=list)
+    guard: object = None  # the scope that only the due, or a hurried stop, ends
     step: object = None  # the continuation: what comes next
 
     @property
--- a/packages/mdproxy/mdproxy/part.py
+++ b/packages/mdproxy/mdproxy/part.py
@@ -22,6 +22,7 @@
 
 BEAT_CORE = 500 * MILLI
 NAME = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
+HEARD = 200 * MILLI
 MARGIN = 20 * MILLI  # a neighbour ends its try this much before the home's due
 
 
@@ -61,7 +62,12 @@
         self.walker.routes = routes
 
     def not_ready(self):
-        return [] if self.delivery.active else ["no manifest yet"]
+        age = now() - self.born
+        return [
+            *([] if self.delivery.active else ["no manifest yet"]),
+            *(["the endpoints beside were not all heard yet"] if age < BEAT + HEARD else []),
+            *(["no load list yet"] if not self.walker.lists.epoch and age < 2 * SECOND else []),
+        ]
 
     # ------------------------------------------------------------ the core
 
@@ -364,6 +370,7 @@
         way, code = routes.way(args["caller"], args["method"], args["path"])
         if way is None or way.service != args["service"]:
             raise Shed(code or "way_forbidden")
+        self.delivery.heard(args["version"], peer.address)
         left = trio.current_effective_deadline()
         call = Call(
             id=args["id"],
@@ -392,6 +399,9 @@
 
     # ------------------------------------------------------------ stop
 
+    def hurried(self):
+        self.walker.hurried()
+
     async def leaving(self):
         await self.tell_core()
 
--- a/packages/mdproxy/mdproxy/walk.py
+++ b/packages/mdproxy/mdproxy/walk.py
@@ -256,9 +256,10 @@
         def started():
             nonlocal sent
             sent = call.started = True
-            shield.shield = True  # from here on only the due ends it
+            guard.shield = True  # from here on only the due ends it
 
-        with until(due) as shield:
+        with until(due) as guard:
+            call.guard = guard
             try:
                 connection = await self.connection(endpoint, service)
                 status, lines, body = await connection.request(
@@ -283,7 +284,7 @@
                 self.book.doubt(endpoint)
                 self.let_go(call)
                 return self.after_not_run(call)
-        if shield.cancelled_caught:
+        if guard.cancelled_caught:
             if sent:
                 self.count("endpoint.late")
                 return self.after_unknown(call, "no_answer")
@@ -363,6 +364,12 @@
         else:
             self.book.closing.append(connection)
 
+    def hurried(self):
+        """A second signal: calls at an endpoint end now, as may have run."""
+        for call in self.slab:
+            if call.guard is not None:
+                call.guard.cancel()
+
     async def close_loop(self):
         while True:
             self.book.expire(now())
--- a/packages/mdreg/mdreg/part.py
+++ b/packages/mdreg/mdreg/part.py
@@ -182,6 +182,9 @@
 
     # ------------------------------------------------------------ stop
 
+    def hurried(self):
+        pass
+
     async def leaving(self):
         self.epoch = None
         await self.tell()
--- a/packages/mdview/mdview/__init__.py
+++ b/packages/mdview/mdview/__init__.py
@@ -57,7 +57,7 @@
     gone: immutables.Map = field(default_factory=immutables.Map)
     heard_version: object = None  # called with (version, address) at each news of one
     seeded: int = 0
-    quiet: dict = field(default_factory=dict)  # partner that didn't answer: left out until then
+    quiet: dict = field(default_factory=dict)  # partner that didn't answer: (until, span)
 
     handlers = Handlers()
 
@@ -127,9 +127,8 @@
 
     def partner(self, at):
         """A neighbour at random; a seed when nobody is known, and now and then to mend splits."""
-        self.quiet = {a: until for a, until in self.quiet.items() if until > at}
         known = sorted(self.entries)
-        others = [a for a in known if a not in self.quiet] or known
+        others = [a for a in known if self.quiet.get(a, (0, 0))[0] <= at] or known
         seeds = [s for s in self.seeds if s != self.me.address]
         if seeds and (not others or at - self.seeded > 5 * SECOND):
             self.seeded = at if others else self.seeded
@@ -145,25 +144,29 @@
         return [list(entry) for entry in reply]
 
     async def turn(self):
+        """One shuffle. Gives False if the partner didn't answer."""
         self.bump()
         self.expire(now())
         partner = self.partner(now())
         if partner is None:
-            return
+            return True
         try:
             told = await self.links.call(
-                partner, "view.shuffle", [list(e) for e in self.sample()], now() + TURN
+                partner, "view.shuffle", [list(e) for e in self.sample()], now() + TURN // 2
             )
         except (Breakdown, Shed):
-            self.quiet[partner] = now() + GONE_AFTER
-            return
+            span = min(2 * self.quiet.get(partner, (0, TURN))[1], 30 * SECOND)
+            self.quiet[partner] = now() + span, span
+            return False
+        self.quiet.pop(partner, None)
         self.merge((Entry(*entry) for entry in told), now())
+        return True
 
     async def run(self):
         while True:
-            await self.turn()
-            # a young view fills fast; a settled one takes its time
-            await rest(TURN if len(self.entries) > 2 else TURN // 5)
+            answered = await self.turn()
+            # a young view fills fast, a settled one takes its time, a silent partner is passed by
+            await rest(TURN if answered and len(self.entries) > 2 else TURN // 5)
 
     async def farewell(self):
         """Tell a few neighbours that this process leaves."""
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,318 @@
+"""Refusals and verdicts: each code caused, each verdict compared with the endpoints' journals."""
+
+from __future__ import annotations
+
+import trio
+from facts import budget, manifest, way
+from mesh import answers, configured, counts, hosts, serving
+from returns.pipeline import is_successful
+
+from mdhttp import Reply
+from mdlib import Endpoint
+from mdseam import MILLI, SECOND, now, rest
+from mdsim import run
+from mdverdict import TABLE
+
+
+async def raw(world, method, path, body=None, headers=()):
+    host = hosts(world)[0]
+    status, lines, told = await world.http(host, method, f"{host}:7400", path, body, headers)
+    return status, lines.get(b"md-verdict", b"").decode(), lines.get(b"retry-after"), told
+
+
+def test_refusals_before_any_endpoint():
+    async def scenario(world):
+        journal = []
+        await serving(world, journal)
+        cases = [
+            ("GET", "/nowhere", None, (), "way_unknown"),
+            ("POST", "/balances/1", {"a": 1}, (), "way_forbidden"),
+            ("GET", "/balances/%2e%2e/ledger", None, (), "malformed"),
+            ("POST", "/withdrawals", b"{", (), "malformed"),
+            ("POST", "/withdrawals", b'"' + b"x" * 300_000 + b'"', (), "too_large"),
+            ("GET", "/balances/1", None, [(b"md-due", b"soon")], "malformed"),
+            ("POST", "/withdrawals", None, [(b"md-key", b"a b")], "malformed"),
+            ("GET", "/balances/1", None, [(b"md-due", b"0")], "due_passed"),
+            ("GET", "/balances/1", None, [(b"md-token", b"zz")], "bad_token"),
+        ]
+        for method, path, body, headers, code in cases:
+            status, verdict, again, told = await raw(world, method, path, body, headers)
+            assert (told["code"], status, verdict) == (code, TABLE[code][0], "not-run"), (
+                path,
+                told,
+            )
+            assert (again is not None) == bool(TABLE[code][2])
+        assert journal == []
+
+    run(scenario, application=("desk",))
+
+
+def unfaithful(**reply):
+    """An endpoint that does the work, then answers wrongly."""
+    ran = []
+
+    async def handle(got):
+        ran.append(got.path)
+        raise RuntimeError
+
+    class Odd(Endpoint):
+        pass
+
+    Odd.table = type(Endpoint.table)()
+    Odd.table.exact = dict(Endpoint.table.exact)
+
+    @Odd.table.otherwise
+    async def called(self, request):
+        ran.append(request.path)
+        call = request.header(b"md-call").encode()
+        lines = [(b"md-call", reply.get("call", call))]
+        if "incarnation" in reply:
+            lines.append((b"md-incarnation", reply["incarnation"]))
+        return Reply(reply.get("status", 200), reply.get("body", {"ok": True}), lines)
+
+    return Odd, ran, handle
+
+
+async def odd_endpoint(world, kind, handle):
+    host = hosts(world)[0]
+    made = await world.endpoint(host, "desk", handle, wait=False)
+    made.app.table = kind.table
+    await made.enrolled.wait()
+
+
+GARBAGE = [
+    {"body": b'{"half": '},
+    {"body": b""},
+    {"body": b'{"a": NaN}'},
+    {"call": b"someone-elses"},
+    {"incarnation": b"another"},
+    {"status": 199},
+]
+
+
+def test_bad_answers_are_never_passed_on():
+    for reply in GARBAGE:
+
+        async def scenario(world, reply=reply):
+            await configured(world)
+            kind, ran, handle = unfaithful(**reply)
+            await odd_endpoint(world, kind, handle)
+            status, verdict, _, told = await raw(world, "POST", "/withdrawals", {"a": 1})
+            assert (status, told["code"], verdict) == (502, "bad_answer", "may-have-run"), reply
+            assert len(ran) == 1  # run-once: never sent again
+
+        run(scenario, application=("desk",))
+
+
+def test_a_lost_answer_is_may_have_run_and_only_safe_ways_are_tried_again():
+    async def scenario(world):
+        ran = []
+
+        async def lose(got):
+            ran.append(got.path)
+            await rest(10 * MILLI)
+            world.kill(f"endpoint@{hosts(world)[0]}:8000")
+            await rest(SECOND)
+
+        await configured(world)
+        await world.endpoint(hosts(world)[0], "desk", lose)
+        journal = []
+        await world.endpoint(hosts(world)[1], "desk", answers(journal=journal))
+        await rest(2 * SECOND)
+        status, verdict, _, told = await raw(world, "POST", "/withdrawals", {"a": 1})
+        assert (status, told["code"], verdict) == (502, "lost", "may-have-run")
+        assert (len(ran), len(journal)) == (1, 0)
+
+    run(scenario, application=("desk", "desk"))
+
+
+def test_a_late_answer_is_may_have_run_by_the_endpoints_wait():
+    async def scenario(world):
+        facts = manifest(
+            [way("w", "/withdrawals", methods=("POST",), repeat="once", budget="short")]
+        )
+        facts["budgets"].append(budget("short", endpoint=200_000))
+        journal = []
+        await configured(world, facts)
+        await world.endpoint(hosts(world)[0], "desk", answers(SECOND, journal))
+        at = now()
+        status, verdict, _, told = await raw(world, "POST", "/withdrawals", {"a": 1})
+        assert (status, told["code"], verdict) == (504, "no_answer", "may-have-run")
+        assert now() - at < 250 * MILLI
+        # the connection of the late answer is not used again: the next caller gets its own
+        status, verdict, _, told = await raw(world, "POST", "/withdrawals/2", {"a": 1})
+        assert told["code"] == "no_answer"
+
+    run(scenario, application=("desk",))
+
+
+def test_a_shorter_due_is_kept():
+    async def scenario(world):
+        await configured(world)
+        await world.endpoint(hosts(world)[0], "desk", answers(SECOND))
+        at = now()
+        _, verdict, _, told = await raw(
+            world, "GET", "/balances/1", headers=[(b"md-due", b"100000")]
+        )
+        assert (told["code"], verdict) == ("no_answer", "may-have-run")
+        assert now() - at < 150 * MILLI
+
+    run(scenario, application=("desk",))
+
+
+def test_an_endpoint_that_says_not_run_is_taken_at_its_word():
+    async def scenario(world):
+        await configured(world)
+
+        async def busy(got):
+            return 503, {"code": "busy"}
+
+        made = await world.endpoint(hosts(world)[0], "desk", busy)
+        original = made.called.__func__
+
+        async def called(self, request):
+            reply = await original(self, request)
+            return Reply(reply.status, reply.body, [*reply.headers, (b"md-verdict", b"not-run")])
+
+        made.app.table = type(Endpoint.table)()
+        made.app.table.exact, made.app.table.rest = Endpoint.table.exact, called
+        status, verdict, again, told = await raw(world, "POST", "/withdrawals", {"a": 1})
+        assert (status, told["code"], verdict, again) == (503, "busy", "not-run", b"1")
+
+    run(scenario, application=("desk",))
+
+
+def test_keys_run_once_at_one_proxy():
+    async def scenario(world):
+        journal = []
+        await serving(world, journal, took_us=50 * MILLI)
+        client = world.client(hosts(world)[0])
+        found = {}
+
+        async def send(name, body, key="k1"):
+            found[name] = await client.call("POST", "/withdrawals", body, key=key)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send, "first", {"amount": 1})
+            await rest(20 * MILLI)
+            nursery.start_soon(send, "meanwhile", {"amount": 1})
+        await send("after", {"amount": 1})
+        await send("other body", {"amount": 2})
+        assert found["meanwhile"].failure().code == "key_in_progress"
+        assert found["after"].unwrap().body == found["first"].unwrap().body
+        assert found["other body"].failure().code == "key_mismatch"
+        assert len(journal) == 1
+
+    run(scenario, application=("desk",))
+
+
+def test_a_caller_that_hangs_up_cancels_only_what_has_not_started():
+    async def scenario(world):
+        journal = []
+        await serving(world, journal, took_us=200 * MILLI, capacity=1)
+        client = world.client(hosts(world)[0])
+
+        async def give_up(after_us):
+            with trio.move_on_after(after_us / SECOND):
+                await client.call("GET", "/balances/1")
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(give_up, 50 * MILLI)  # has started: runs to its end
+            await rest(20 * MILLI)
+            nursery.start_soon(give_up, 50 * MILLI)  # waits for the slot: is dropped
+        await rest(SECOND)
+        part = world.part("mdproxy", hosts(world)[0])
+        assert len(journal) == 1
+        assert len(part.walker.slab) == 0
+        assert [e.in_flight for e in part.book.by_address.values()] == [0]
+
+    run(scenario, application=("desk",))
+
+
+def test_second_tries_stay_below_one_in_five_while_a_whole_service_fails():
+    async def scenario(world):
+        ran = []
+
+        async def garbage(got):
+            ran.append(now())
+            return 200, b"garbage"
+
+        await configured(world)
+        for host in hosts(world):
+            await world.endpoint(host, "desk", garbage)
+        calls = 0
+        clients = [world.client(h) for h in hosts(world)]
+        for _ in range(400):
+            for client in clients:
+                world.nursery.start_soon(client.call, "GET", "/balances/1")
+                calls += 1
+            await rest(30 * MILLI)
+        await rest(2 * SECOND)
+        assert len(ran) > calls
+        starts = range(0, 2 * SECOND, 100 * MILLI)
+        windows = [sum(s <= at - ran[0] < s + 10 * SECOND for at in ran) for s in starts]
+        firsts = 10 * SECOND * 3 // (30 * MILLI)
+        assert max(windows) > 1.1 * firsts  # second tries did happen
+        assert max(windows) - firsts <= 0.2 * firsts + 36
+
+    run(scenario, application=("desk", "desk", "desk"))
+
+
+def test_a_spilled_call_is_never_spilled_again():
+    async def scenario(world):
+        await serving(world, took_us=300 * MILLI, capacity=1)
+        clients = [world.client(h) for h in hosts(world)]
+
+        async def call(client):
+            await client.call("GET", "/balances/1")
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(20):
+                for client in clients:
+                    nursery.start_soon(call, client)
+                await rest(50 * MILLI)
+        total = {h: counts(world, h) for h in hosts(world)}
+        assert sum(c.get("taken", 0) for c in total.values()) <= sum(
+            c["spilled"] for c in total.values()
+        )
+        # a neighbour decides nothing: rules are counted only for calls that arrived there
+        assert all(
+            sum(v for k, v in c.items() if k.startswith("rule.")) <= 3 * c["calls"]
+            for c in total.values()
+        )
+        assert sum(c["spilled"] for c in total.values()) > 0
+
+    run(scenario, application=("desk", "desk", "desk"))
+
+
+def test_a_neighbour_that_vanishes_with_a_call_leaves_it_may_have_run():
+    async def scenario(world):
+        await serving(world, took_us=SECOND)
+        host, other = hosts(world)[0], hosts(world)[1]
+        found = []
+
+        async def call():
+            found.append(await raw(world, "POST", "/withdrawals", {"a": 1}))
+
+        world.nursery.start_soon(call)
+        await rest(100 * MILLI)
+        assert counts(world, other)["taken"] == 1
+        world.kill(f"mdproxy@{other}")
+        await rest(SECOND)
+        status, verdict, _, told = found[0]
+        assert (status, told["code"], verdict) == (502, "lost", "may-have-run")
+        assert host
+
+    run(scenario, application=("paper", "desk"))
+
+
+def test_a_silent_neighbour_is_left_by_the_due_and_the_call_is_may_have_run():
+    async def scenario(world):
+        await serving(world)
+        host, other = hosts(world)
+        assert is_successful(await world.client(host).call("GET", "/balances/1"))
+        world.web.cut(host, other)
+        status, verdict, _, told = await raw(world, "POST", "/withdrawals", {"a": 1})
+        assert (status, told["code"], verdict) == (504, "no_answer", "may-have-run")
+
+    run(scenario, application=("paper", "desk"))
--- /dev/null
+++ b/tests/test_stop.py
@@ -0,0 +1,89 @@
+"""The polite stop: within 5 s, nothing in flight lost, nobody told to come to a closed door."""
+
+from __future__ import annotations
+
+import trio
+from mesh import hosts, serving
+from returns.pipeline import is_successful
+
+from mdseam import MILLI, SECOND, now, rest
+from mdsim import run
+
+
+def test_a_proxy_restarted_under_load_loses_no_call():
+    async def scenario(world):
+        journal, found = [], []
+        await serving(world, journal, took_us=300 * MILLI, capacity=8)
+        host, other = hosts(world)[:2]
+        stopped = []
+
+        async def stop():
+            await rest(SECOND)
+            stopped.append(await world.stop(f"mdproxy@{host}"))
+
+        async def call(client):
+            found.append(await client.call("GET", "/balances/1"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop)
+            while not stopped:
+                # callers go where the probe says ready, as the platform would send them
+                status = 0
+                if f"mdproxy@{host}" in world.processes:
+                    status, _, _ = await world.http(host, "GET", f"{host}:7400", "/ready")
+                nursery.start_soon(call, world.client(host if status == 200 else other))
+                await rest(20 * MILLI)
+        assert stopped[0] < 5 * SECOND
+        assert len(found) > 80
+        assert all(is_successful(f) for f in found), [f for f in found if not is_successful(f)][:3]
+        assert len(journal) == len(found)
+
+    run(scenario, application=("desk", "desk", "desk"))
+
+
+def test_a_stop_waits_for_a_long_call_and_a_second_signal_does_not():
+    async def scenario(world):
+        await serving(world, took_us=1_900 * MILLI)
+        found = []
+        for host, hurry in zip(hosts(world), (False, True), strict=True):
+
+            async def call(host=host):
+                found.append(await world.client(host).call("GET", "/balances/1"))
+
+            world.nursery.start_soon(call)
+            await rest(100 * MILLI)
+            begun = now()
+            if hurry:
+                world.node("mdproxy", host).hurry.set()
+            took = await world.stop(f"mdproxy@{host}")
+            assert took == now() - begun
+            assert (took < 500 * MILLI) == hurry
+            if not hurry:
+                assert is_successful(found[0])
+
+    run(scenario)
+
+
+def test_core_processes_restarted_one_after_another_are_not_felt():
+    async def scenario(world):
+        await serving(world)
+        found = []
+
+        async def load():
+            client = world.client(hosts(world)[0])
+            while True:
+                found.append(await client.call("GET", "/balances/1"))
+                await rest(20 * MILLI)
+
+        world.nursery.start_soon(load)
+        for host in world.core:
+            for role in ("mdreg", "mdconf"):
+                assert await world.stop(f"{role}@{host}") < 5 * SECOND
+                await world.start(role, host)
+                await world.eventually(lambda r=role, h=host: not world.node(r, h).not_ready())
+        await rest(5 * SECOND)
+        assert len(found) > 100
+        assert all(is_successful(f) for f in found)
+        assert (await world.operate("GET", "/manifest"))[1]["version"] == 1
+
+    run(scenario)
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,114 @@
+"""Links: the fleet key, altered frames, late answers, and what a breakdown claims."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+import trio
+
+from mdseam import MILLI, SECOND, now, rest
+from mdsim import SimNet, run
+from mdwire import Breakdown, Handlers, Links, Peer, Shed, serve
+
+KEY = b"k" * 32
+
+
+async def pair(world, key=KEY, spoil=None):
+    handlers = Handlers()
+    ran = []
+
+    @handlers.on("echo")
+    async def echo(peer, args):
+        ran.append(args)
+        await rest(args[0])
+        if args[1] == "shed":
+            raise Shed("busy", n=1)
+        return [peer.name, args[1]]
+
+    async def work(process, nursery):
+        async def answer(stream):
+            await serve(stream, KEY, random.Random(2), "there", handlers, lambda *_, **__: None)
+
+        await nursery.start(process.net.serve_links, "10.0.0.9:1", answer)
+        process.up.set()
+
+    process = world.launch("there", "10.0.0.9", work)
+    await process.up.wait()
+    net = SimNet(world.web, "10.0.0.8")
+    me = Peer("here", "10.0.0.8:1")
+    links = Links(world.nursery, net, key, random.Random(3), me, lambda *_, **__: None)
+    return links, ran, process
+
+
+def test_calls_sheds_and_late_answers():
+    async def scenario(world):
+        links, ran, _ = await pair(world)
+        call = links.call
+        assert await call("10.0.0.9:1", "echo", [0, "a"], now() + SECOND) == ["here", "a"]
+        with pytest.raises(Shed, match="busy"):
+            await call("10.0.0.9:1", "echo", [0, "shed"], now() + SECOND)
+        with pytest.raises(Breakdown) as late:
+            await call("10.0.0.9:1", "echo", [300 * MILLI, "late"], now() + 100 * MILLI)
+        assert late.value.sent
+        # the slot's next tenant doesn't get the late answer
+        told = await call("10.0.0.9:1", "echo", [400 * MILLI, "next"], now() + SECOND)
+        assert told == ["here", "next"]
+
+    run(scenario)
+
+
+def test_a_call_given_up_is_cancelled_at_the_other_side():
+    async def scenario(world):
+        links, ran, process = await pair(world)
+        with trio.move_on_after(0.1):
+            await links.call("10.0.0.9:1", "echo", [10 * SECOND, "x"], now() + 20 * SECOND)
+        assert len(ran) == 1
+        link = links.links["10.0.0.9:1"]
+        assert len(link.pending) == 0
+        assert link.broken is None
+
+    run(scenario)
+
+
+def test_a_wrong_fleet_key_is_refused_before_anything_runs():
+    async def scenario(world):
+        links, ran, _ = await pair(world, key=b"x" * 32)
+        with pytest.raises(Breakdown) as broken:
+            await links.call("10.0.0.9:1", "echo", [0, "a"], now() + SECOND)
+        assert not broken.value.sent
+        assert ran == []
+
+    run(scenario)
+
+
+def test_an_altered_frame_ends_the_link():
+    async def scenario(world):
+        links, ran, process = await pair(world)
+        await links.call("10.0.0.9:1", "echo", [0, "a"], now() + SECOND)
+        half = next(iter(process.net.halves))
+        half.arrive(b"\x00\x00\x00\x05" + b"s" * 16 + b"hello")
+        await rest(SECOND)
+        assert links.links["10.0.0.9:1"].broken is not None
+        assert await links.call("10.0.0.9:1", "echo", [0, "b"], now() + SECOND) == ["here", "b"]
+
+    run(scenario)
+
+
+def test_unsent_and_sent_breakdowns():
+    async def scenario(world):
+        links, _, process = await pair(world)
+        with pytest.raises(Breakdown) as refused:
+            await links.call("10.0.0.9:2", "echo", [0, "a"], now() + SECOND)
+        assert not refused.value.sent
+
+        async def kill():
+            await rest(100 * MILLI)
+            process.kill()
+
+        world.nursery.start_soon(kill)
+        with pytest.raises(Breakdown) as lost:
+            await links.call("10.0.0.9:1", "echo", [5 * SECOND, "a"], now() + 10 * SECOND)
+        assert lost.value.sent
+
+    run(scenario)
