--- a/packages/mdproxy/mdproxy/walk.py
+++ b/packages/mdproxy/mdproxy/walk.py
@@ -216,7 +216,8 @@
     def unknown(self, call, code, again, tries_left):
         """A try's fate is unknown: try again only on a way that is safe to repeat."""
         call.may_have_run = True
-        if call.way.safe and tries_left and now() < call.due and not call.hung_up:
+        over = call.hung_up or self.node.hurry.is_set() or now() >= call.due
+        if call.way.safe and tries_left and not over:
             return again
         call.refuse(code)
         return None
