--- a/packages/mdfleet/mdfleet/__main__.py
+++ b/packages/mdfleet/mdfleet/__main__.py
@@ -11,6 +11,7 @@
 
 from mdboot import VERSION
 from mdfleet.fleet import Fleet, load_topology
+from mdfleet.measure import measure
 from mdfleet.report import summary, table
 
 
@@ -41,6 +42,14 @@
         finally:
             fleet.down()
 
+    def measure(self, topology, folder="run", rate=1.0):
+        """The whole job: steady load, one slow endpoint, a drain, a proxy restarted; as tables."""
+        fleet = Fleet(load_topology(topology), os.path.abspath(folder))
+        try:
+            print(measure(fleet, rate))
+        finally:
+            fleet.down()
+
 
 def wait_for_signal():
     asked = threading.Event()
--- a/packages/mdfleet/mdfleet/caller.py
+++ b/packages/mdfleet/mdfleet/caller.py
@@ -16,7 +16,7 @@
 from returns.pipeline import is_successful
 
 from mdlib import Client
-from mdseam import SECOND, Net, now, rest
+from mdseam import SECOND, HttpBreakdown, Net, now, rest
 
 
 class Callers:
@@ -27,6 +27,7 @@
         self.numbers = itertools.count(1)
         self.stop = trio.Event()
         self.zero = now()
+        self.ready, self.clients = {}, {}
 
     async def one(self, client, stream, proxy, intended):
         key = f"{self.spec['seed']}-{next(self.numbers)}" if stream.get("keyed") else None
@@ -39,10 +40,33 @@
             code, verdict = found.failure().code, found.failure().verdict.value
         self.rows.append([stream["name"], proxy, intended - self.zero, took, code, verdict, key])
 
-    async def arrivals(self, stream, proxy, rate, token):
+    async def probe(self, proxy):
+        """The platform: asks ready once a second, and sends callers elsewhere if it is not."""
+        net = Net()
+        while not self.stop.is_set():
+            connection = net.http(proxy)
+            status = 0
+            with trio.move_on_after(1):
+                try:
+                    status, _, _ = await connection.request("GET", "/ready", [], b"")
+                except HttpBreakdown:
+                    pass
+            await connection.close()
+            self.ready[proxy] = status == 200
+            with trio.move_on_after(1):
+                await self.stop.wait()
+
+    def client(self, proxy, others, token):
+        """Where a call begins: on its own machine; if that isn't ready, on the next of its kind.
+        A token is good on its own machine only."""
+        places = [proxy] if token else [proxy, *others]
+        place = next((p for p in places if self.ready.get(p, True)), proxy)
+        if (place, token) not in self.clients:
+            self.clients[place, token] = Client(Net(place.rpartition(":")[0]), place, token)
+        return self.clients[place, token]
+
+    async def arrivals(self, stream, proxy, rate, token, others):
         """Poisson arrivals for one stream at one machine."""
-        host = proxy.rpartition(":")[0]
-        client = Client(Net(host), proxy, token)
         intended = now()
         async with trio.open_nursery() as nursery:
             while not self.stop.is_set():
@@ -52,8 +76,8 @@
                 with trio.move_on_at(intended / SECOND):
                     await self.stop.wait()
                 if not self.stop.is_set():
+                    client = self.client(proxy, others, token)
                     nursery.start_soon(self.one, client, stream, proxy, intended)
-        await client.close()
 
     def factor(self, stream, at):
         """Rate multipliers over time: [[from_us, to_us, stream, factor], ...]."""
@@ -68,8 +92,10 @@
 
     async def run(self):
         async with trio.open_nursery() as nursery:
-            for stream, proxy, rate, token in self.spec["arrivals"]:
-                nursery.start_soon(self.arrivals, stream, proxy, rate, token)
+            for proxy in sorted({p for a in self.spec["arrivals"] for p in (a[1], *a[4])}):
+                nursery.start_soon(self.probe, proxy)
+            for arrival in self.spec["arrivals"]:
+                nursery.start_soon(self.arrivals, *arrival)
             with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
                 with trio.move_on_after(self.spec["seconds"]):
                     async for _ in received:
--- a/packages/mdfleet/mdfleet/fleet.py
+++ b/packages/mdfleet/mdfleet/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import os
 import secrets
@@ -165,6 +166,23 @@
         self.note()
         return version
 
+    def knobs(self, host, port=8000, **knobs):
+        """Turn a stand-in endpoint's knobs."""
+        body = json.dumps(knobs).encode()
+        with urllib.request.urlopen(f"http://{host}:{port}/standin", body, timeout=5) as answer:
+            return json.load(answer)
+
+    def proxy_status(self, host):
+        """What the proxy says to its own machine."""
+        connection = http.client.HTTPConnection(host, 7400, 5, source_address=(host, 0))
+        try:
+            connection.request("GET", "/md/status")
+            return json.load(connection.getresponse())
+        except OSError:
+            return None
+        finally:
+            connection.close()
+
     def note(self):
         facts = {
             "topology": self.topology["name"],
@@ -210,13 +228,15 @@
     # ------------------------------------------------------------ load
 
     def arrivals(self, rate_factor=1.0):
-        """[stream, proxy, rate, token] for every stream at every machine where it begins."""
+        """[stream, proxy, rate, token, others] for every stream at every machine where it begins;
+        others serve its callers while the machine isn't ready."""
         return [
             [
                 stream,
                 f"{host}:7400",
                 stream["rate"] * rate_factor / len(self.hosts_of(stream["at"])),
                 self.tokens[host] if "by" in stream else None,
+                [f"{other}:7400" for other in self.hosts_of(stream["at"]) if other != host],
             ]
             for stream in self.topology["load"]
             for host in self.hosts_of(stream["at"])
--- /dev/null
+++ b/packages/mdfleet/mdfleet/measure.py
@@ -0,0 +1,158 @@
+"""The whole job on one machine, phase by phase, from the callers' own records.
+
+Times in the report are by the callers' clock, from the moment when their load began.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+
+from mdfleet.report import figures, summary, table
+
+SETTLE, STEADY, SLOW, BACK, DRAIN, RESTART = 4, 15, 10, 8, 8, 10
+
+
+class Watch:
+    """Samples one proxy's status each second, beside the load."""
+
+    def __init__(self, fleet, host, service):
+        self.fleet, self.host, self.service = fleet, host, service
+        self.lines = []
+
+    def over(self, seconds, phase):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            status = self.fleet.proxy_status(self.host)
+            if status:
+                counts = status["counts"]
+                self.lines.append(
+                    (
+                        phase,
+                        round(status["rho"].get(self.service, 0), 3),
+                        counts.get("spilled", 0),
+                        counts.get("rule.below-omega", 0),
+                    )
+                )
+            time.sleep(1)
+
+    def table(self):
+        """Per phase: the highest rho, and how many calls went away and stayed."""
+        phases = list(dict.fromkeys(line[0] for line in self.lines))
+        rows = ["| phase | highest rho | spilled | kept below omega |", "|---|---|---|---|"]
+        before = (0, 0)
+        for phase in phases:
+            lines = [line for line in self.lines if line[0] == phase]
+            last = lines[-1][2:4]
+            rows.append(
+                f"| {phase} | {max(line[1] for line in lines)} | {last[0] - before[0]} "
+                f"| {last[1] - before[1]} |"
+            )
+            before = last
+        return "\n".join(rows)
+
+
+def measure(fleet, rate):
+    fleet.whole()
+    service = next(iter(fleet.application.values()))[1]
+    slow, drained, restarted = fleet.hosts_of(service)[:3]
+    mean_us, capacity = fleet.application[slow][3], fleet.application[slow][2]
+    own_rate = sum(
+        s["rate"] * rate / len(fleet.hosts_of(service))
+        for s in fleet.topology["load"]
+        if s["at"] == service and "by" not in s
+    )
+    total = SETTLE + STEADY + SLOW + BACK + DRAIN + RESTART + 2
+    begun = time.monotonic()
+    callers = fleet.start_callers(total, rate_factor=rate)
+    watch = Watch(fleet, slow, service)
+    phases = []
+
+    def phase(name, seconds, act=None):
+        start = time.monotonic() - begun
+        if act:
+            act()
+        watch.over(seconds, name)
+        phases.append((name, start, time.monotonic() - begun))
+
+    notes = []
+
+    def drain():
+        status, took = fleet.stop(f"endpoint-{drained}-8000")
+        notes.append(f"drained endpoint: exit {status} after {took:.2f} s")
+        _, handle = fleet.start_endpoint(drained, 8001)
+        fleet.tokens[drained] = json.loads(handle.stdout.readline())["token"]
+
+    def restart():
+        status, took = fleet.stop(f"mdproxy-{restarted}")
+        notes.append(f"restarted proxy: exit {status} after {took:.2f} s")
+        fleet.start_daemon("mdproxy", restarted)
+        fleet.wait_ready([f"{restarted}:7400"])
+        notes.append("restarted proxy: ready again")
+
+    # as slow as fills the endpoint one and a half times over
+    slowed = int(1.5 * capacity / own_rate * 1_000_000)
+    phase("settle", SETTLE)
+    phase("steady", STEADY)
+    phase("slow endpoint", SLOW, lambda: fleet.knobs(slow, mean_us=slowed))
+    phase("back to normal", BACK, lambda: fleet.knobs(slow, mean_us=mean_us))
+    phase("endpoint replaced", DRAIN, drain)
+    phase("proxy restarted", RESTART, restart)
+    cpu = cpu_by_kind(fleet)
+    for handle in callers:
+        handle.wait()
+    rows = fleet.rows()
+    return "\n\n".join(
+        [
+            f"## {fleet.topology['name']}: offered {sum(s['rate'] for s in fleet.topology['load']) * rate:.0f} a second",
+            f"slow endpoint: {slow}, mean {slowed / 1000:.0f} ms instead of {mean_us / 1000:.0f} ms",
+            *phase_tables(rows, phases),
+            f"### {slow} over the phases\n\n" + watch.table(),
+            "### Counts over the whole run\n\n" + totals(fleet, rows, notes, cpu),
+        ]
+    )
+
+
+def phase_tables(rows, phases):
+    for name, start, end in phases:
+        within = [row for row in rows if start * 1e6 <= row[2] < end * 1e6]
+        yield f"### {name} ({end - start:.0f} s)\n\n" + table(summary(within, end - start))
+
+
+def totals(fleet, rows, notes, cpu):
+    keys = [line["key"] for line in journal(fleet)]
+    said_not_run = {row[6] for row in rows if row[6] and row[5] == "not-run"}
+    said_ran = {row[6] for row in rows if row[6] and row[5] == "ran"}
+    whole = figures(rows, 1)
+    lines = [
+        f"calls: {whole['calls']}, verdicts: {whole['verdicts']}, codes: {whole['codes']}",
+        f"run-once calls by key: {len(set(keys))} ran, {len(keys) - len(set(keys))} ran twice, "
+        f"{len(said_not_run & set(keys))} told not-run yet ran, "
+        f"{len(said_ran - set(keys))} told ran yet not in a journal",
+        *notes,
+        "CPU seconds by kind: " + ", ".join(f"{k} {v:.1f}" for k, v in cpu.items()),
+    ]
+    return "\n".join(f"- {line}" for line in lines)
+
+
+def journal(fleet):
+    for name in sorted(os.listdir(fleet.folder)):
+        if name.startswith("journal-"):
+            with open(os.path.join(fleet.folder, name), encoding="utf-8") as file:
+                yield from map(json.loads, file)
+
+
+def cpu_by_kind(fleet):
+    """User and system time so far of the processes that run, by what they are."""
+    tick = os.sysconf("SC_CLK_TCK")
+    found = {}
+    for name, process in fleet.processes.items():
+        try:
+            with open(f"/proc/{process.handle.pid}/stat", encoding="ascii") as file:
+                parts = file.read().rpartition(")")[2].split()
+        except OSError:
+            continue
+        kind = name.split("-")[0]
+        found[kind] = found.get(kind, 0) + (int(parts[11]) + int(parts[12])) / tick
+    return found
--- a/packages/mdnode/mdnode/__init__.py
+++ b/packages/mdnode/mdnode/__init__.py
@@ -13,7 +13,7 @@
 from mdview import Entry, View
 from mdwire import Links, Peer, serve
 
-LINGER = 800 * MILLI  # still serving, but telling everybody to leave
+LINGER = 1_200 * MILLI  # still serving, for the platform probes ready only once a second
 STOP_WITHIN = 4_700 * MILLI  # the platform forces after about 6 s; we promise 5 s
 KNOWN = (OSError, ValueError, KeyError, TypeError, LookupError, RuntimeError, ArithmeticError)
 
