A call that lay in a buffer past its due, or with its cancel behind it, does not run

Cause: a cancel read in one go with its call found no handler yet and was dropped; and the time left was counted from the reading, so a neighbour that stood still gave an old call its whole time anew. The scope is now made when the call is read, and a link measures how long frames lay on the way, by the difference of the two clocks against its own least of late. A call that a neighbour shed costs no second try when home keeps it.

--- a/packages/mdfleet/mdfleet/measure.py
+++ b/packages/mdfleet/mdfleet/measure.py
@@ -63,9 +63,9 @@
         for s in fleet.topology["load"]
         if s["at"] == service and "by" not in s
     )
-    total = SETTLE + STEADY + SLOW + BACK + DRAIN + RESTART + 2
+    longest = 3 * (SETTLE + STEADY + SLOW + BACK + DRAIN + RESTART)
     begun = time.monotonic()
-    callers = fleet.start_callers(total, rate_factor=rate)
+    callers = fleet.start_callers(longest, rate_factor=rate)
     watch = Watch(fleet, slow, service)
     phases = []
 
@@ -101,6 +101,7 @@
     phase("proxy restarted", RESTART, restart)
     cpu = cpu_by_kind(fleet)
     for handle in callers:
+        handle.terminate()
         handle.wait()
     rows = fleet.rows()
     return "\n\n".join(
--- a/packages/mdproxy/mdproxy/call.py
+++ b/packages/mdproxy/mdproxy/call.py
@@ -79,7 +79,9 @@
     outcome: Answer | Refusal | None = None
     may_have_run: bool = False  # some try's fate is unknown
     tried: set = field(default_factory=set)  # neighbours that refused, or broke
-    sends: int = 0
+    sends: int = 0  # to neighbours and endpoints
+    reached: int = 0  # sends that may have come to an endpoint
+    waits: int = 0
     spills: int = 0
     endpoint_tries: int = 0
     endpoint: object = None  # whose slot is held
--- a/packages/mdproxy/mdproxy/walk.py
+++ b/packages/mdproxy/mdproxy/walk.py
@@ -162,7 +162,8 @@
                 holding.line.remove(entry)
         if call.endpoint is not None:
             return self.endpoint_step
-        if told.is_set():
+        call.waits += 1
+        if told.is_set() and call.waits <= call.way.arrival[1]:
             return self.choose_step  # home is gone meanwhile
         return call.refuse("busy")
 
@@ -201,6 +202,7 @@
             return self.unknown(call, shed.code, self.choose_step, call.spills <= way.spill[1])
         except Breakdown as broken:
             call.tried.add(target.address)
+            call.reached += 1
             self.count("spill.broke")
             if not broken.sent:
                 return self.choose_step
@@ -245,9 +247,11 @@
         if not endpoint.present:
             self.let_go(call)
             return self.after_not_run(call)
-        if call.sends and not self.tries.permit(now()):
+        # a call that a neighbour shed has been nowhere yet: home keeps it, as the paper's would
+        if call.reached and not self.tries.permit(now()):
             return call.refuse("busy", "no second tries left")
         call.sends += 1
+        call.reached += 1
         call.endpoint_tries += 1
         begun = now()
         due = min(call.due, begun + way.endpoint[0])
--- a/packages/mdsim/mdsim/net.py
+++ b/packages/mdsim/mdsim/net.py
@@ -76,6 +76,9 @@
                         await self.news_or_forever()
                 else:
                     self.inbox.popleft()
+                    # as a socket's buffer: all that has come is read at once, up to an end
+                    while data and self.inbox and self.inbox[0][0] <= now() and self.inbox[0][1]:
+                        data += self.inbox.popleft()[1]
                     return data
             else:
                 await self.wait(self.news)
--- a/packages/mdwire/mdwire/link.py
+++ b/packages/mdwire/mdwire/link.py
@@ -116,6 +116,32 @@
 # ---------------------------------------------------------------- answering side
 
 
+class Lag:
+    """How long a frame lay between the two processes, beyond the least seen of late. The two
+    clocks are never compared, only their difference with itself.
+
+    >>> lag = Lag()
+    >>> lag.of(1_000, 501_000), lag.of(2_000, 502_000), lag.of(3_000, 9_503_000)
+    (0, 0, 9000000)
+    """
+
+    # Invariant: least holds the smallest difference of this span and of the one before, so that
+    # two clocks that drift apart are not taken for a lag.
+    SPAN = 10 * SECOND
+
+    def __init__(self):
+        self.begun = None
+        self.least = [float("inf"), float("inf")]
+
+    def of(self, sent_at, came_at):
+        if self.begun is None or came_at - self.begun > Lag.SPAN:
+            self.begun = came_at
+            self.least = [self.least[1], float("inf")]
+        apart = came_at - sent_at
+        self.least[1] = min(self.least[1], apart)
+        return apart - min(self.least)
+
+
 async def serve(stream, key, rng, name, handlers, log):
     """One incoming link, until it ends. Handlers run as tasks of the link."""
     async with stream:
@@ -129,6 +155,7 @@
         send, holding = trio.open_memory_channel(1024)
         # Invariant: running maps ids of calls being answered on this link to their scopes.
         running = {}
+        lag = Lag()
 
         async def write():
             async for body in holding:
@@ -143,9 +170,9 @@
                 except BROKEN:  # the peer is gone; the reader's end closes the link
                     nursery.cancel_scope.cancel()
 
-        async def handle(id, method, args, left):
-            scope = running[id] = until(now() + left)
+        async def handle(id, method, args, scope):
             with scope:
+                await trio.lowlevel.checkpoint_if_cancelled()
                 try:
                     handler = handlers.table.get(method)
                     if handler is None:
@@ -166,8 +193,13 @@
                 while True:
                     kind, id, *rest = unpack(await read_frame(reader, into))
                     if kind == CALL:
-                        method, args, left = rest
-                        nursery.start_soon(handle, tuple(id), method, args, left)
+                        method, args, left, sent_at = rest
+                        left -= lag.of(sent_at, now())
+                        # a cancel may lie right behind its call: the scope is there before the task
+                        scope = running[tuple(id)] = until(now() + left)
+                        if left <= 0:
+                            scope.cancel()
+                        nursery.start_soon(handle, tuple(id), method, args, scope)
                     elif kind == CANCEL and tuple(id) in running:
                         running[tuple(id)].cancel()
             except BROKEN as cause:
@@ -256,7 +288,7 @@
         asked = now()
         pending = Pending()
         handle = self.pending.put(pending)
-        body = pack([CALL, handle, method, args, max(0, due - asked)])
+        body = pack([CALL, handle, method, args, max(0, due - asked), asked])
         try:
             self.send.send_nowait((handle, body))
         except trio.WouldBlock:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -316,3 +316,41 @@
         assert (status, told["code"], verdict) == (504, "no_answer", "may-have-run")
 
     run(scenario, application=("paper", "desk"))
+
+
+def test_a_call_that_lay_in_a_buffer_past_its_due_does_not_run():
+    """The neighbour stood still with the call in its socket buffer and goes on later."""
+
+    async def scenario(world):
+        journal = []
+        await serving(world, journal)
+        host, other = hosts(world)
+        await raw(world, "GET", "/balances/0")  # the link is open
+        world.web.cut(host, other)
+        _, verdict, _, told = await raw(world, "POST", "/withdrawals", {"a": 1})
+        assert (told["code"], verdict) == ("no_answer", "may-have-run")
+        # the silent link was left, and another can't be opened: this one was surely not sent
+        _, verdict, _, told = await raw(world, "POST", "/withdrawals", {"a": 1})
+        assert (told["code"], verdict) == ("home_gone", "not-run")
+        world.web.heal()
+        await rest(3 * SECOND)
+        assert [got.path for got in journal] == ["/balances/0"]
+
+    run(scenario, application=("paper", "desk"))
+
+
+def test_a_cancel_that_comes_with_its_call_is_heard():
+    async def scenario(world):
+        journal = []
+        await serving(world, journal)
+        host, other = hosts(world)
+        await raw(world, "GET", "/balances/0")
+        world.web.cut(host, other)
+        with trio.move_on_after(0.1):
+            await raw(world, "POST", "/withdrawals", {"a": 1})
+        await rest(50 * MILLI)  # long before the due
+        world.web.heal()
+        await rest(SECOND)
+        assert [got.path for got in journal] == ["/balances/0"]
+
+    run(scenario, application=("paper", "desk"))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -112,3 +112,19 @@
         assert lost.value.sent
 
     run(scenario)
+
+
+def test_a_call_that_came_after_its_due_is_not_handled_even_if_its_cancel_was_lost(monkeypatch):
+    monkeypatch.setattr("mdwire.link.Link.cancel", lambda *_: None)
+
+    async def scenario(world):
+        links, ran, _ = await pair(world)
+        await links.call("10.0.0.9:1", "echo", [0, "a"], now() + SECOND)
+        world.web.cut("10.0.0.8", "10.0.0.9")
+        with pytest.raises(Breakdown):
+            await links.call("10.0.0.9:1", "echo", [0, "b"], now() + 300 * MILLI)
+        world.web.heal()
+        await rest(SECOND)
+        assert [args[1] for args in ran] == ["a"]
+
+    run(scenario)
