--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -123,6 +123,7 @@
         world.web.cut("10.0.0.8", "10.0.0.9")
         with pytest.raises(Breakdown):
             await links.call("10.0.0.9:1", "echo", [0, "b"], now() + 300 * MILLI)
+        await rest(100 * MILLI)
         world.web.heal()
         await rest(SECOND)
         assert [args[1] for args in ran] == ["a"]
