--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,30 @@
+"""The docs' tables say what the code does."""
+
+from __future__ import annotations
+
+import os
+import re
+
+from mdlog import CATALOGUE
+from mdverdict import SECOND, TABLE
+
+DOCS = os.path.join(os.path.dirname(__file__), "..", "docs")
+
+
+def rows(name):
+    with open(os.path.join(DOCS, name), encoding="utf-8") as file:
+        return [[c.strip() for c in line.strip("|\n").split("|")] for line in file if line[0] == "|"]
+
+
+def test_the_catalogue_of_events():
+    told = {int(r[0]): (r[1], r[2]) for r in rows("events.md") if r[0].isdigit()}
+    assert told == CATALOGUE
+
+
+def test_the_refusals():
+    told = {
+        r[0]: (int(r[1]), r[2], int(re.sub(r"\D", "", r[3]) or 0) * SECOND)
+        for r in rows("calls.md")
+        if r[0] in TABLE
+    }
+    assert told == {code: (s, v.value, again) for code, (s, v, again, _) in TABLE.items()}
