--- a/packages/mdfleet/mdfleet/caller.py
+++ b/packages/mdfleet/mdfleet/caller.py
@@ -56,16 +56,25 @@
             with trio.move_on_after(1):
                 await self.stop.wait()
 
-    def client(self, proxy, others, token):
+    async def read_tokens(self):
+        """An endpoint that was replaced has another token; its calls go on under that one."""
+        while not self.stop.is_set():
+            with open(self.spec["facts"], encoding="utf-8") as file:
+                self.tokens = json.load(file)["tokens"]
+            with trio.move_on_after(0.2):
+                await self.stop.wait()
+
+    def client(self, proxy, others, token_host):
         """Where a call begins: on its own machine; if that isn't ready, on the next of its kind.
         A token is good on its own machine only."""
+        token = self.tokens[token_host] if token_host else None
         places = [proxy] if token else [proxy, *others]
         place = next((p for p in places if self.ready.get(p, True)), proxy)
         if (place, token) not in self.clients:
             self.clients[place, token] = Client(Net(place.rpartition(":")[0]), place, token)
         return self.clients[place, token]
 
-    async def arrivals(self, stream, proxy, rate, token, others):
+    async def arrivals(self, stream, proxy, rate, token_host, others):
         """Poisson arrivals for one stream at one machine."""
         intended = now()
         async with trio.open_nursery() as nursery:
@@ -76,7 +85,7 @@
                 with trio.move_on_at(intended / SECOND):
                     await self.stop.wait()
                 if not self.stop.is_set():
-                    client = self.client(proxy, others, token)
+                    client = self.client(proxy, others, token_host)
                     nursery.start_soon(self.one, client, stream, proxy, intended)
 
     def factor(self, stream, at):
@@ -92,6 +101,9 @@
 
     async def run(self):
         async with trio.open_nursery() as nursery:
+            with open(self.spec["facts"], encoding="utf-8") as file:
+                self.tokens = json.load(file)["tokens"]
+            nursery.start_soon(self.read_tokens)
             for proxy in sorted({p for a in self.spec["arrivals"] for p in (a[1], *a[4])}):
                 nursery.start_soon(self.probe, proxy)
             for arrival in self.spec["arrivals"]:
--- a/packages/mdfleet/mdfleet/fleet.py
+++ b/packages/mdfleet/mdfleet/fleet.py
@@ -157,6 +157,14 @@
             if waiting:
                 time.sleep(0.1)
 
+    def wait_for_list(self, host, service, seconds=15):
+        """Until the proxy's load list names a node for the service."""
+        until = time.monotonic() + seconds
+        while service not in (self.proxy_status(host) or {"listed": {}})["listed"]:
+            if time.monotonic() > until:
+                raise TimeoutError(f"{host} has no {service} in its list")
+            time.sleep(0.1)
+
     def whole(self, manifest=None):
         """Everything up, configured and serving."""
         self.up()
@@ -194,8 +202,10 @@
                 name: {"pid": p.handle.pid, "argv": p.argv} for name, p in self.processes.items()
             },
         }
-        with open(os.path.join(self.folder, "fleet.json"), "w", encoding="utf-8") as file:
+        path = os.path.join(self.folder, "fleet.json")
+        with open(path + ".aside", "w", encoding="utf-8") as file:
             json.dump(facts, file, indent=1)
+        os.rename(path + ".aside", path)
 
     def stop(self, name, how=signal.SIGTERM, wait=8):
         """Signal one process and wait for it; gives (exit status, seconds)."""
@@ -228,14 +238,14 @@
     # ------------------------------------------------------------ load
 
     def arrivals(self, rate_factor=1.0):
-        """[stream, proxy, rate, token, others] for every stream at every machine where it begins;
+        """[stream, proxy, rate, token's host, others] for every stream at every machine where it begins;
         others serve its callers while the machine isn't ready."""
         return [
             [
                 stream,
                 f"{host}:7400",
                 stream["rate"] * rate_factor / len(self.hosts_of(stream["at"])),
-                self.tokens[host] if "by" in stream else None,
+                host if "by" in stream else None,
                 [f"{other}:7400" for other in self.hosts_of(stream["at"]) if other != host],
             ]
             for stream in self.topology["load"]
@@ -251,6 +261,7 @@
                 "seconds": seconds,
                 "arrivals": arrivals[index::processes],
                 "surges": list(surges),
+                "facts": os.path.join(self.folder, "fleet.json"),
                 "report": os.path.join(self.folder, f"{label}-{index}.report.json"),
             }
             path = os.path.join(self.folder, f"{label}-{index}.json")
--- a/packages/mdfleet/mdfleet/measure.py
+++ b/packages/mdfleet/mdfleet/measure.py
@@ -26,29 +26,21 @@
         while time.monotonic() < end:
             status = self.fleet.proxy_status(self.host)
             if status:
-                counts = status["counts"]
-                self.lines.append(
-                    (
-                        phase,
-                        round(status["rho"].get(self.service, 0), 3),
-                        counts.get("spilled", 0),
-                        counts.get("rule.below-omega", 0),
-                    )
-                )
+                rho = round(status["rho"].get(self.service, 0), 3)
+                self.lines.append((phase, rho, status["counts"]))
             time.sleep(1)
 
     def table(self):
-        """Per phase: the highest rho, and how many calls went away and stayed."""
-        phases = list(dict.fromkeys(line[0] for line in self.lines))
-        rows = ["| phase | highest rho | spilled | kept below omega |", "|---|---|---|---|"]
-        before = (0, 0)
-        for phase in phases:
+        """Per phase: the highest rho, and how many calls each rule decided."""
+        rows = ["| phase | highest rho | spilled | decided by |", "|---|---|---|---|"]
+        before = {}
+        for phase in dict.fromkeys(line[0] for line in self.lines):
             lines = [line for line in self.lines if line[0] == phase]
-            last = lines[-1][2:4]
-            rows.append(
-                f"| {phase} | {max(line[1] for line in lines)} | {last[0] - before[0]} "
-                f"| {last[1] - before[1]} |"
-            )
+            last = lines[-1][2]
+            grown = {k: n - before.get(k, 0) for k, n in sorted(last.items())}
+            rules = ", ".join(f"{k[5:]} {n}" for k, n in grown.items() if k[:5] == "rule." and n)
+            highest = max(line[1] for line in lines)
+            rows.append(f"| {phase} | {highest} | {grown.get('spilled', 0)} | {rules} |")
             before = last
         return "\n".join(rows)
 
@@ -83,6 +75,7 @@
         notes.append(f"drained endpoint: exit {status} after {took:.2f} s")
         _, handle = fleet.start_endpoint(drained, 8001)
         fleet.tokens[drained] = json.loads(handle.stdout.readline())["token"]
+        fleet.note()
 
     def restart():
         status, took = fleet.stop(f"mdproxy-{restarted}")
--- a/packages/mdproxy/mdproxy/part.py
+++ b/packages/mdproxy/mdproxy/part.py
@@ -227,6 +227,7 @@
             {
                 "version": self.delivery.version,
                 "cut_off": self.delivery.cut_off,
+                "listed": {s: [n.address for n in ns] for s, ns in self.walker.told_nodes.items()},
                 "list": {"epoch": lists.epoch, "seq": lists.seq},
                 "rho": {s: o.rho for s, o in self.book.occupations.items()},
                 "calls_under_way": len(self.walker.slab),
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -13,7 +13,9 @@
 
 def rows(name):
     with open(os.path.join(DOCS, name), encoding="utf-8") as file:
-        return [[c.strip() for c in line.strip("|\n").split("|")] for line in file if line[0] == "|"]
+        return [
+            [c.strip() for c in line.strip("|\n").split("|")] for line in file if line[0] == "|"
+        ]
 
 
 def test_the_catalogue_of_events():
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -10,7 +10,7 @@
 from mesh import configured, hosts, serving
 from returns.pipeline import is_successful
 
-from mdmanifest import Routes, checked, cut
+from mdmanifest import SIZE_MAX, Routes, checked, cut
 from mdseam import MILLI, SECOND, now, rest
 from mdsim import run
 
@@ -241,6 +241,39 @@
     run(scenario)
 
 
+def test_an_unclear_confirm_is_called_so_and_settles_for_good():
+    async def scenario(world):
+        await configured(world)
+        facts = manifest([way("x", "/balances")])
+        plan = (await world.operate("POST", "/plan", facts))[1]["plan"]
+        store = world.part("mdconf", world.core[0]).store
+        original = store.keeper.write
+
+        async def cut_while_writing(key, ballot, value):
+            for other in world.core[1:]:
+                world.web.cut(world.core[0], other)
+            return await original(key, ballot, value)
+
+        store.keeper.write = cut_while_writing
+        status, told = await world.operate("POST", "/confirm", {"plan": plan})
+        assert (status, told["code"]) == (504, "unclear")
+        store.keeper.write = original
+        world.web.heal()
+        settled = (await world.operate("GET", f"/plan/{plan}", core=1))[1]
+        assert settled["state"] in ("confirmed", "open")
+        head = (await world.operate("GET", "/manifest", core=2))[1]["version"]
+        assert head == (2 if settled["state"] == "confirmed" else 1)
+        await rest(5 * SECOND)
+        again = (await world.operate("GET", f"/plan/{plan}", core=2))[1]
+        assert again["state"] == settled["state"]
+
+    run(scenario)
+
+
+def test_a_manifest_over_the_size_limit_is_refused():
+    assert errors_of(b" " * (SIZE_MAX + 1)) == [f"manifest is over {SIZE_MAX} bytes"]
+
+
 def test_waits_over_the_cap_are_named():
     facts = manifest()
     facts["budgets"].append(budget("long", endpoint=3_600_000))
