mdctl takes a manifest from standard input, and plan ids are never read as numbers

Seen by following the README: a lone dash is the command library's separator, and an id of digits only became an int.

--- a/packages/mdctl/mdctl/__main__.py
+++ b/packages/mdctl/mdctl/__main__.py
@@ -24,15 +24,18 @@
     """Operators' calls to the mesh. CORE lists mdconf addresses, ip:port, divided by commas
     (or the environment's MD_CORE); KEY_FILE holds the operators' key, if the core wants one."""
 
+    @fire.decorators.SetParseFn(str)
     def __init__(self, core=None, key_file=None):
         core = core or os.environ.get("MD_CORE", "")
-        self._cores = core.split(",") if isinstance(core, str) else [str(c) for c in core]
+        self._cores = core.split(",")
         self._key = _read(key_file).decode("ascii").strip() if key_file else None
 
+    @fire.decorators.SetParseFn(str)
     def plan(self, file):
         """Hand in a manifest (a file, or - for standard input); prints what would change."""
         _print(self._ask("POST", "/plan", _read(file)))
 
+    @fire.decorators.SetParseFn(str, "plan")
     def confirm(self, plan, wait=False):
         """Put a plan in force. With --wait: until every live proxy has it, or 10 s."""
         facts = self._ask("POST", "/confirm", json.dumps({"plan": str(plan)}).encode(), str(plan))
@@ -40,6 +43,7 @@
         if wait:
             self._wait(facts["version"])
 
+    @fire.decorators.SetParseFn(str, "plan")
     def settle(self, plan):
         """What became of a plan: open, confirmed or outdated. Final once it answers."""
         _print(self._ask("GET", f"/plan/{plan}"))
@@ -52,6 +56,7 @@
         """The register's members, the proxies and their versions, endpoints, the collector."""
         _print(self._ask("GET", "/status"))
 
+    @fire.decorators.SetParseFn(str)
     def check(self, file):
         """Check a manifest without any mesh; lists every error."""
         found = checked(_read(file))
@@ -99,8 +104,6 @@
 
 
 def _read(file):
-    if file == "-":
-        return sys.stdin.buffer.read()
     try:
         with open(file, "rb") as kept:
             return kept.read()
@@ -115,10 +118,30 @@
 
 def main():
     os.environ.setdefault("PAGER", "cat")
-    if sys.argv[1:] == ["--version"]:
+    # a lone dash would be taken for fire's own separator
+    words = ["/dev/stdin" if word == "-" else word for word in sys.argv[1:]]
+    if words == ["--version"]:
         Ctl().version()
-        return
-    fire.Fire(Ctl, name="mdctl")
+    elif words in ([], ["--help"], ["-h"]):
+        print(usage())
+    else:
+        fire.Fire(Ctl, command=words, name="mdctl")
+
+
+def usage():
+    commands = ["plan", "confirm", "settle", "get", "status", "check", "version"]
+    lines = [f"  {n:<8} {getattr(Ctl, n).__doc__.strip()}" for n in commands]
+    return "\n".join(
+        [
+            "mdctl [--core=IP:PORT,...] [--key_file=FILE] COMMAND",
+            "",
+            Ctl.__doc__,
+            "",
+            *lines,
+            "",
+            "mdctl COMMAND --help tells more. " + __doc__.strip().splitlines()[-1],
+        ]
+    )
 
 
 if __name__ == "__main__":
--- a/packages/mdfleet/mdfleet/fleet.py
+++ b/packages/mdfleet/mdfleet/fleet.py
@@ -131,9 +131,10 @@
             return planned["base"]
         return self.ctl("confirm", planned["plan"])["version"]
 
-    def ctl(self, *words):
+    def ctl(self, *words, given=None):
         found = subprocess.run(
             [sys.executable, "-m", "mdctl", f"--core={','.join(self.conf_http)}", *words],
+            input=given,
             capture_output=True,
             text=True,
             check=False,
--- a/packages/mdseam/mdseam/disk.py
+++ b/packages/mdseam/mdseam/disk.py
@@ -96,7 +96,7 @@
     async def names(self, folder):
         await trio.lowlevel.checkpoint()
         start = folder.rstrip("/") + "/"
-        return sorted(name[len(start) :] for name in self.files if name.startswith(start))
+        return sorted({n[len(start) :].split("/")[0] for n in self.files if n.startswith(start)})
 
     async def remove(self, name):
         await trio.lowlevel.checkpoint()
--- a/packages/mdsim/mdsim/disk.py
+++ b/packages/mdsim/mdsim/disk.py
@@ -11,10 +11,10 @@
 
 import trio
 
-from mdseam import rest
+from mdseam import MemoryDisk, rest
 
 
-class SimDisk:
+class SimDisk(MemoryDisk):
     """Invariants: lasting is what a power loss leaves; files is what the running process sees.
     A write goes aside, is synced, is renamed, and the folder is synced: only then it lasts.
     Between rename and the folder's sync a power loss keeps either the old or the new state."""
@@ -56,15 +56,6 @@
             self.lasting[name] = data
             await self.step(shield)
 
-    async def read(self, name):
-        await trio.lowlevel.checkpoint()
-        return self.files.get(name)
-
-    async def names(self, folder):
-        await trio.lowlevel.checkpoint()
-        start = folder.rstrip("/") + "/"
-        return sorted({n[len(start) :].split("/")[0] for n in self.files if n.startswith(start)})
-
     async def remove(self, name):
         await trio.lowlevel.checkpoint()
         self.files.pop(name, None)
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -193,13 +193,18 @@
     run(scenario)
 
 
+async def first_cut_off(world):
+    await serving(world)
+    host = hosts(world)[0]
+    for core in world.core:
+        world.web.cut(core, host)
+    await rest(3 * SECOND)
+    return host
+
+
 def test_a_cut_off_proxy_serves_the_last_and_says_so_then_catches_up():
     async def scenario(world):
-        await serving(world)
-        host = hosts(world)[0]
-        for core in world.core:
-            world.web.cut(core, host)
-        await rest(3 * SECOND)
+        host = await first_cut_off(world)
         version = await world.configure(manifest([way("x", "/balances")]))
         assert world.part("mdproxy", host).delivery.version == 1 or version == 1
         status, lines, _ = await world.http(host, "GET", f"{host}:7400", "/balances/1")
@@ -214,11 +219,7 @@
 
 def test_a_cut_off_proxy_learns_a_newer_version_from_a_neighbour():
     async def scenario(world):
-        await serving(world)
-        host = hosts(world)[0]
-        for core in world.core:
-            world.web.cut(core, host)
-        await rest(3 * SECOND)
+        host = await first_cut_off(world)
         version = await world.configure(manifest([way("x", "/balances")]))
         await world.eventually(lambda: world.part("mdproxy", host).delivery.version == version)
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -76,9 +76,11 @@
     assert version == facts["version"] + 1
     assert fleet.ctl("settle", planned["plan"])["version"] == version
     assert fleet.ctl("get")["manifest"] == changed
-    path.write_text('{"ways": 1}')
+    assert fleet.ctl("plan", "-", given=json.dumps(changed))["plan"] is None  # nothing to change
     with pytest.raises(RuntimeError, match="'services' is a required property"):
-        fleet.ctl("plan", str(path))
+        fleet.ctl("plan", "-", given='{"ways": 1}')
+    with pytest.raises(RuntimeError, match="plan_unknown"):
+        fleet.ctl("confirm", "0" * 32)
 
 
 def test_kill_9_of_the_whole_core_keeps_what_was_acknowledged(fleet):
