A process that stood still blames nobody for its own silence; freezing in the simulator

Seen failing first: a proxy woken after 5 s had dropped its whole view as silent, so it found no core to ask, took itself for cut off and served the old manifest. Ruled out: the pulse, which saw the freeze, and the links, which reopened. Views, endpoint books and rosters now add their own standstill to what they heard last. The simulator freezes a process by keeping its wake-ups.

--- a/packages/mdproxy/mdproxy/endpoints.py
+++ b/packages/mdproxy/mdproxy/endpoints.py
@@ -11,12 +11,12 @@
 import ormsgpack
 
 from mdload import Gauge, rho
-from mdseam import MILLI, SECOND
+from mdseam import MILLI, SECOND, Standstill, now
 from mdwire import derive
 
 BEAT = 500 * MILLI
 WINDOW = 1_500 * MILLI  # three beats
-IDLE_MAX = 64
+STILL = 250 * MILLI
 
 
 class Denied(Exception):
@@ -79,6 +79,7 @@
         self.waiters = {}  # service -> callables that may start a held call
         self.closing = []  # connections to close, by the loop that owns them
         self.last_issued = 0
+        self.still = Standstill(STILL, now())
 
     # ------------------------------------------------------------ tokens
 
@@ -184,6 +185,9 @@
             self.freed(endpoint.service)
 
     def expire(self, at):
+        stood = self.still.look(at)  # beats may lie unread
+        for endpoint in self.by_address.values():
+            endpoint.beat_at += stood
         for endpoint in list(self.by_address.values()):
             if at - endpoint.beat_at > WINDOW:
                 self.lose(endpoint, "no beat")
--- a/packages/mdproxy/mdproxy/part.py
+++ b/packages/mdproxy/mdproxy/part.py
@@ -347,6 +347,7 @@
             (b"md-verdict", outcome.verdict.value.encode()),
             (b"md-node", self.node.boot.name.encode()),
             *([(b"md-call", call.id.encode())] if call else []),
+            (b"md-version", str(call.version if call else self.delivery.version).encode()),
             *([(b"md-cut-off", b"1")] if self.delivery.cut_off else []),
         ]
         if isinstance(outcome, Answer):
--- a/packages/mdreg/mdreg/part.py
+++ b/packages/mdreg/mdreg/part.py
@@ -4,7 +4,7 @@
 
 from mdhttp import Table
 from mdreg.duty import owner
-from mdseam import MILLI, SECOND, now, rest
+from mdseam import MILLI, SECOND, Standstill, now, rest
 from mdwire import Breakdown, Handlers, Shed
 
 BEAT = 500 * MILLI
@@ -94,9 +94,14 @@
         }
 
     async def beat_loop(self):
+        still = Standstill(2 * BEAT + BEAT // 2, now())
         while True:
+            stood = still.look(now())
             for known in (self.roster, self.regs):
                 for address, (beat, heard) in list(known.items()):
+                    if stood:
+                        heard += stood
+                        known[address] = beat, heard
                     if now() - heard > ALIVE:
                         del known[address]
                         self.node.log(302, peer=address, role=beat["role"], why="silent")
--- a/packages/mdseam/mdseam/__init__.py
+++ b/packages/mdseam/mdseam/__init__.py
@@ -28,6 +28,7 @@
     "Net",
     "NoDisk",
     "Seams",
+    "Standstill",
     "fingerprint",
     "in_thread",
     "now",
@@ -49,6 +50,23 @@
     return trio.CancelScope(deadline=due / SECOND)
 
 
+class Standstill:
+    """How long this process itself stood still, told by looks that should come at least every
+    `usual`. Who was silent meanwhile must not be blamed for it.
+
+    >>> still = Standstill(100, 0)
+    >>> still.look(90), still.look(5_000), still.look(5_050)
+    (0, 4910, 0)
+    """
+
+    def __init__(self, usual, at):
+        self.usual, self.at = usual, at
+
+    def look(self, at):
+        gap, self.at = at - self.at, at
+        return gap if gap > self.usual else 0
+
+
 def fingerprint(data, key=b""):
     return hashlib.blake2b(data, key=key, digest_size=16).hexdigest()
 
--- a/packages/mdsim/mdsim/net.py
+++ b/packages/mdsim/mdsim/net.py
@@ -115,6 +115,7 @@
         self.web, self.host = web, host
         self.halves = set()
         self.alive = True
+        self.belongs = lambda: None
 
     async def serve_links(self, address, handler, task_status=trio.TASK_STATUS_IGNORED):
         async with trio.open_nursery() as nursery:
@@ -134,7 +135,12 @@
         mine.other, theirs.other = theirs, mine
         self.halves.add(mine)
         net.halves.add(theirs)
-        nursery.start_soon(handler, theirs)
+
+        async def answer():
+            net.belongs()
+            await handler(theirs)
+
+        nursery.start_soon(answer)
         return mine
 
     async def serve_http(
@@ -228,6 +234,7 @@
             told.append(event)
 
         async def serve():
+            net.belongs()  # this task is of the other process
             try:
                 await web.carry(here, there)
                 if net.alive:
--- a/packages/mdsim/mdsim/world.py
+++ b/packages/mdsim/mdsim/world.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextvars
 import io
 import json
 import random
+from functools import partial
 
 import trio
 import trio.testing
@@ -45,17 +47,43 @@
         return [(at, line) for at, line in self.lines if line["number"] in numbers]
 
 
+# Which process a task belongs to. Tasks inherit it; a request's task at the other side sets it.
+owner = contextvars.ContextVar("owner", default=None)
+
+
+def hook_scheduler():
+    """Let a task of a frozen process wait: its wake-ups are kept until the process goes on. Trio
+    has no public door for this, so the simulator, and it alone, wraps its scheduler."""
+    runner = trio._core._run.Runner
+    if getattr(runner, "md_hooked", False):
+        return
+    original = runner.reschedule
+
+    def reschedule(self, task, *outcome):
+        process = task.context.get(owner)
+        if process is not None and process.frozen is not None:
+            process.frozen.append((task, outcome))
+        else:
+            original(self, task, *outcome)
+
+    runner.reschedule, runner.md_hooked = reschedule, True
+
+
 class Process:
-    """Invariant: scope is the whole process; once it is cancelled its net is gone."""
+    """Invariants: scope is the whole process; once it is cancelled its net is gone. frozen is
+    None, or the wake-ups that came since the freeze, in order."""
 
     def __init__(self, world, name, host):
         self.world, self.name, self.host = world, name, host
         self.net = SimNet(world.web, host)
+        self.net.belongs = partial(owner.set, self)
         self.scope = trio.CancelScope()
         self.up, self.over = trio.Event(), trio.Event()
         self.node = None
+        self.frozen = None
 
     async def run(self, work):
+        owner.set(self)
         with self.scope:
             async with trio.open_nursery() as nursery:
                 self.net.home = nursery
@@ -66,6 +94,17 @@
     def kill(self):
         self.net.vanish()
         self.scope.cancel()
+        self.wake()
+
+    def freeze(self):
+        """As SIGSTOP: nothing of it runs, its clock goes on, its sockets take what fits."""
+        if self.frozen is None:
+            self.frozen = []
+
+    def wake(self):
+        held, self.frozen = self.frozen or [], None
+        for task, outcome in held:
+            trio.lowlevel.reschedule(task, *outcome)
 
 
 class World:
@@ -224,6 +263,7 @@
 
 def run(scenario, seed=1, **places):
     """Run `scenario(world)` under a seed; gives what it gives. Nothing here takes real time."""
+    hook_scheduler()
     order = trio._core._run  # trio has no public door to its scheduler's randomness
     order._ALLOW_DETERMINISTIC_SCHEDULING = True
     order._r.seed(seed)
@@ -232,9 +272,12 @@
         async with trio.open_nursery() as nursery:
             world = World(seed, nursery)
             world.place(**places)
-            result = await scenario(world)
-            nursery.cancel_scope.cancel()
-            return result
+            try:
+                return await scenario(world)
+            finally:
+                for process in world.processes.values():
+                    process.wake()  # who is frozen can't end
+                nursery.cancel_scope.cancel()
 
     return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
--- a/packages/mdview/mdview/__init__.py
+++ b/packages/mdview/mdview/__init__.py
@@ -8,12 +8,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 import immutables
 
-from mdseam import MILLI, SECOND, now, rest
+from mdseam import MILLI, SECOND, Standstill, now, rest
 from mdwire import Breakdown, Handlers, Shed
 
 VIEW_MAX, SHELF_MAX, SAMPLE = 10, 32, 5
@@ -57,6 +57,7 @@
     gone: immutables.Map = field(default_factory=immutables.Map)
     heard_version: object = None  # called with (version, address) at each news of one
     seeded: int = 0
+    still: Standstill = field(default_factory=lambda: Standstill(2 * SECOND, 0))
     quiet: dict = field(default_factory=dict)  # partner that didn't answer: (until, span)
 
     handlers = Handlers()
@@ -101,6 +102,11 @@
             self.entries = self.entries.delete(entry.address)
 
     def expire(self, at):
+        stood = self.still.look(at)
+        if stood:
+            self.entries = immutables.Map(
+                {a: replace(s, heard=s.heard + stood) for a, s in self.entries.items()}
+            )
         for seen in list(self.entries.values()):
             if at - seen.heard > GONE_AFTER:
                 self.give_up(seen.entry, at, "silent")
@@ -163,6 +169,7 @@
         return True
 
     async def run(self):
+        self.still.at = now()
         while True:
             answered = await self.turn()
             # a young view fills fast, a settled one takes its time, a silent partner is passed by
