--- a/packages/mdconf/mdconf/part.py
+++ b/packages/mdconf/mdconf/part.py
@@ -13,11 +13,12 @@
 from mdconf.store import Store
 from mdhttp import Reply, Table, TooLarge
 from mdmanifest import SIZE_MAX, assemble, checked, cut, difference
-from mdregister import Lost, NoMajority, Proposer, Unclear
+from mdregister import Lost, NoMajority, Proposer, Unclear, holds_majorities
 from mdseam import MILLI, SECOND, fingerprint, now, rest, until
 from mdwire import Breakdown, Handlers, Shed
 
 HEAD = "manifest/head"
+MEMBERS = "members"
 HISTORY = 256
 OPERATE = 5 * SECOND
 STAGE_WAIT = 900 * MILLI
@@ -25,6 +26,12 @@
 EMPTY = {"services": [], "budgets": [], "ways": [], "load": {}}
 
 
+class Conflict(Exception):
+    def __init__(self, code, **facts):
+        super().__init__(code)
+        self.code, self.facts = code, facts
+
+
 class Outdated(Exception):
     def __init__(self, head):
         super().__init__("outdated")
@@ -61,7 +68,7 @@
         await self.store.load()
         self.proposer = Proposer(
             f"{self.store.disk}:{self.node.incarnation}",
-            lambda: list(self.store.record["voters"]) if self.store.record else [],
+            lambda: self.store.groups,
             self.ask,
             self.node.seams.rng,
             self.node.nursery,
@@ -84,12 +91,9 @@
         """Wanted: every founding member holds the same record. The lowest address founds, once,
         and only when all are reachable and blank; a disk that comes later stays outside."""
         while True:
+            known = {*self.node.boot.members, *self.store.everybody.values()}
             told = await self.node.links.call_all(
-                {
-                    a: (a, "member.hello", None)
-                    for a in self.node.boot.members
-                    if a != self.node.boot.link
-                },
+                {a: (a, "member.hello", None) for a in sorted(known - {self.node.boot.link})},
                 now() + SECOND,
             )
             answers = {a: t for a, t in told.items() if not isinstance(t, Exception)}
@@ -104,7 +108,7 @@
             ):
                 voters = {t["disk"]: a for a, t in answers.items()}
                 voters[self.store.disk] = self.node.boot.link
-                await self.store.adopt({"version": 1, "voters": voters})
+                await self.store.adopt({"version": 1, "voters": voters, "next": None})
                 self.node.log(601, members=sorted(voters.values()))
             await rest(SECOND if self.store.record else 200 * MILLI)
 
@@ -117,12 +121,18 @@
 
     async def ask(self, member, method, args, due):
         """One member's answer, over its link or from this very process."""
-        record = self.store.record
+        version = self.store.record["version"]
         if member == self.store.disk:
-            return await self.answer(record["version"], member, method, args)
-        return await self.node.links.call(
-            record["voters"][member], "register", [record["version"], member, method, args], due
-        )
+            return await self.answer(version, member, method, args)
+        address = self.store.everybody[member]
+        try:
+            return await self.node.links.call(
+                address, "register", [version, member, method, args], due
+            )
+        except Shed as shed:
+            if shed.code == "old_members":
+                await self.store.adopt(shed.facts["record"])
+            raise
 
     @handlers.on("register")
     async def on_register(self, peer, args):
@@ -145,6 +155,133 @@
         except OSError as cause:
             raise Shed("disk", cause=str(cause)) from None
 
+    # ------------------------------------------------------------ members that change
+
+    @handlers.on("member.adopt")
+    async def on_adopt(self, peer, record):
+        await self.store.adopt(record)
+        return {"disk": self.store.disk, "version": self.store.record["version"]}
+
+    @handlers.on("member.keys")
+    async def on_keys(self, peer, _):
+        return sorted(self.store.keeper.keys.values())
+
+    async def change_members(self, addresses, due):
+        """Make the disks at these addresses the voters. Old and new together first (every quorum
+        is then a majority of both), all keys and range files carried over, then the new alone.
+        Begun and not ended, it is ended by the same call again."""
+        hello = await self.node.links.call_all(
+            {a: (a, "member.hello", None) for a in addresses if a != self.node.boot.link}, due
+        )
+        disks = {t["disk"]: a for a, t in hello.items() if not isinstance(t, Exception)}
+        if self.node.boot.link in addresses:
+            disks[self.store.disk] = self.node.boot.link
+        absent = sorted(set(addresses) - set(disks.values()))
+        # an absent one may stay if it is a voter already; it may not come in
+        disks |= {d: a for d, a in self.store.record["voters"].items() if a in absent}
+        absent = sorted(set(addresses) - set(disks.values()))
+        if absent:
+            raise Conflict("absent", absent=absent)
+        record = await self.step_members(
+            lambda r: (
+                {"version": r["version"] + 1, "voters": r["voters"], "next": disks}
+                if r["next"] is None and set(r["voters"]) != set(disks)
+                else r
+            ),
+            due,
+        )
+        if record["next"] is None:
+            return record
+        if set(record["next"]) != set(disks):
+            raise Conflict("another_change", next=record["next"])
+        await self.carry_over(due)
+        return await self.step_members(
+            lambda r: (
+                {"version": r["version"] + 1, "voters": r["next"], "next": None}
+                if r["next"] is not None
+                else r
+            ),
+            due,
+        )
+
+    async def step_members(self, make, due):
+        """One change of the record: agreed in the register, then known to a quorum of it."""
+        old = self.store.groups
+
+        def checked_make(kept):
+            newest = kept if kept and kept["version"] > base["version"] else base
+            return make(newest)
+
+        base = self.store.record
+        record = await self.proposer.change(MEMBERS, checked_make, due)
+        await self.store.adopt(record)
+        told = await self.node.links.call_all(
+            {
+                d: (a, "member.adopt", record)
+                for d, a in self.store.everybody.items()
+                if d != self.store.disk
+            },
+            due,
+        )
+        knowing = {d for d, t in told.items() if not isinstance(t, Exception)} | {self.store.disk}
+        if not all(holds_majorities([group], knowing) for group in [*old, *self.store.groups]):
+            raise Unclear(MEMBERS)
+        return record
+
+    async def carry_over(self, due):
+        told = await self.node.links.call_all(
+            {
+                d: (a, "member.keys", None)
+                for d, a in self.store.everybody.items()
+                if d != self.store.disk
+            },
+            due,
+        )
+        answers = {d: t for d, t in told.items() if not isinstance(t, Exception)}
+        answers[self.store.disk] = list(self.store.keeper.keys.values())
+        if not holds_majorities([list(self.store.record["voters"])], answers):
+            raise NoMajority("keys")
+        for key in sorted({key for keys in answers.values() for key in keys}):
+            await self.proposer.change(key, lambda old: old, due)
+        head = await self.proposer.read(HEAD, due) or NO_HEAD
+        names = sorted({*head["ranges"], *(p for _, p in head["history"])})
+        bodies = await self.fetch(names)
+        if not set(head["ranges"]) <= set(bodies):
+            raise NoMajority("range files")
+        await self.spread(bodies, due)
+
+    @table.on("POST", "/members")
+    async def members(self, request):
+        return self.denied(request) or await self.operate(self.make_members, request)
+
+    async def make_members(self, request):
+        try:
+            facts = json.loads(await request.body(65536))
+            addresses = set(self.store.record["voters"].values())
+            if "set" in facts:
+                addresses = set(facts["set"])
+            else:
+                if facts["old"] not in addresses:
+                    return Reply(404, {"code": "member_unknown", "members": sorted(addresses)})
+                addresses = addresses - {facts["old"]} | {facts["new"]}
+            if not all(isinstance(a, str) for a in addresses) or len(addresses) not in (1, 3, 5):
+                raise ValueError
+        except (ValueError, KeyError, TypeError):
+            return Reply(400, {"code": "malformed", "detail": "1, 3 or 5 members by ip:port"})
+        try:
+            record = await self.change_members(addresses, now() + 4 * OPERATE)
+        except Conflict as conflict:
+            return Reply(409, {"code": conflict.code, **conflict.facts})
+        self.node.log(607, version=record["version"], members=sorted(record["voters"].values()))
+        return Reply(
+            200,
+            {
+                "state": "changed",
+                "version": record["version"],
+                "members": {a: d for d, a in record["voters"].items()},
+            },
+        )
+
     # ------------------------------------------------------------ the head
 
     async def read_head(self, due):
@@ -174,7 +311,7 @@
             except (NoMajority, Unclear) as cause:
                 reading.outcome = NoMajority(str(cause))
                 if not self.no_majority:
-                    self.node.log(603, members=len(self.proposer.members()))
+                    self.node.log(603, members=len(self.proposer.voters()))
                 self.no_majority = True
             finally:
                 reading.done.set()
@@ -251,7 +388,7 @@
         return [await self.store.put_blob(bytes(body)) for body in bodies]
 
     def others(self):
-        return [a for d, a in self.store.record["voters"].items() if d != self.store.disk]
+        return [a for d, a in self.store.everybody.items() if d != self.store.disk]
 
     async def fetch(self, names):
         """{name: body} of range files, from here or from other members."""
@@ -275,34 +412,33 @@
     async def spread(self, bodies, due):
         """Put range files on every member that answers; raises NoMajority unless a majority
         holds them all."""
-        names, held = list(bodies), 0
+        names, held = list(bodies), set()
 
-        async def one(address):
-            nonlocal held
+        async def one(disk, address):
             try:
                 missing = await self.node.links.call(address, "blob.missing", names, due)
                 for start in range(0, len(missing), 64):
                     put = [bodies[name] for name in missing[start : start + 64]]
                     await self.node.links.call(address, "blob.put", put, due)
-                held += 1
+                held.add(disk)
             except (Breakdown, Shed):
                 pass
 
         async def here():
-            nonlocal held
             try:
                 for body in bodies.values():
                     await self.store.put_blob(body)
-                held += 1 if self.store.voter else 0
+                held.add(self.store.disk)
             except OSError:
                 pass
 
         with until(due):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(here)
-                for address in self.others():
-                    nursery.start_soon(one, address)
-        if held < self.proposer.majority():
+                for disk, address in self.store.everybody.items():
+                    if disk != self.store.disk:
+                        nursery.start_soon(one, disk, address)
+        if not self.proposer.quorum(held):
             raise NoMajority("range files")
 
     async def manifest_of(self, ranges):
@@ -480,7 +616,6 @@
             head, majority = await self.read_head(now() + SECOND), True
         except NoMajority:
             head, majority = self.head, False
-        record = self.store.record or {"version": 0, "voters": {}}
         hello = await self.node.links.call_all(
             {a: (a, "member.hello", None) for a in self.others()} if self.store.record else {},
             now() + 500 * MILLI,
@@ -504,8 +639,9 @@
                     or isinstance(hello.get(a), dict)
                     and hello[a]["disk"] == d,
                 }
-                for d, a in record["voters"].items()
+                for d, a in self.store.everybody.items()
             },
+            "members_change": (self.store.record or {}).get("next"),
             "lost_keys_here": self.store.keeper.lost(),
             "regs": {
                 a: {k: r[k] for k in ("collector", "seen_epoch", "regs", "last")}
--- a/packages/mdconf/mdconf/store.py
+++ b/packages/mdconf/mdconf/store.py
@@ -17,7 +17,9 @@
         self.files, self.rng, self.log = disk, rng, log
         self.keeper = Keeper(disk, log)
         self.disk = None
-        self.record = None  # {"version": n, "voters": {disk id: address}}
+        # {"version": n, "voters": {disk id: address}, "next": the same, or None}; while next is
+        # set the members change, and a quorum is a majority of voters and one of next
+        self.record = None
 
     async def load(self):
         kept = unsealed(await self.files.read("disk"))
@@ -40,9 +42,22 @@
         await self.files.write(name, sealed(ormsgpack.packb(record)))
         self.record = record
 
+    @property
+    def everybody(self):
+        """{disk id: address} of all that have a vote."""
+        if self.record is None:
+            return {}
+        return {**self.record["voters"], **(self.record["next"] or {})}
+
+    @property
+    def groups(self):
+        if self.record is None:
+            return []
+        return [list(g) for g in (self.record["voters"], self.record["next"]) if g]
+
     @property
     def voter(self):
-        return self.record is not None and self.disk in self.record["voters"]
+        return self.disk in self.everybody
 
     async def put_blob(self, body):
         name = fingerprint(body)
--- a/packages/mdctl/mdctl/__main__.py
+++ b/packages/mdctl/mdctl/__main__.py
@@ -129,7 +129,7 @@
 
 
 def usage():
-    commands = ["plan", "confirm", "settle", "get", "status", "check", "version"]
+    commands = ["plan", "confirm", "settle", "get", "status", "member", "check", "version"]
     lines = [f"  {n:<8} {getattr(Ctl, n).__doc__.strip()}" for n in commands]
     return "\n".join(
         [
--- a/packages/mdlog/mdlog/__init__.py
+++ b/packages/mdlog/mdlog/__init__.py
@@ -37,6 +37,7 @@
     604: ("plan_made", "an operator's plan is kept on a majority"),
     605: ("plan_confirmed", "an operator's plan is the head"),
     606: ("blob_mended", "a missing or rotten range file was fetched again"),
+    607: ("members_changed", "the register's voters are others now"),
     701: ("duty_taken", "this process holds a duty under a new epoch"),
     702: ("duty_lost", "a higher epoch was seen; the duty is dropped"),
     703: ("list_refused", "a load list of an older epoch was refused"),
--- a/packages/mdproxy/mdproxy/delivery.py
+++ b/packages/mdproxy/mdproxy/delivery.py
@@ -22,7 +22,7 @@
 class Staged:
     routes: Routes
     head: dict
-    at: int
+    since: int  # when a version newer than the one in force was first staged
 
 
 class Delivery:
@@ -39,7 +39,7 @@
         self.bodies = {}
         self.confirmed_at = None
         self.pulse_at = now()
-        self.cut_off = False
+        self.cut_off = self.late = False
         self.last_source = None
         self.doubtful = None  # an event while in doubt
         self.news = trio.Event()
@@ -101,11 +101,16 @@
                 self.node.log(503, version=self.version)
             head, source = await self.ask_peers()
         else:
-            if self.cut_off or doubt is not None:
+            # others have switched while this process was away: it does so at once
+            self.late = self.cut_off or doubt is not None
+            if self.late:
                 self.node.log(504, version=head["version"])
             self.cut_off = False
         if head is not None and head["version"] > self.newest:
             await self.stage(head, source)
+        elif self.late and self.staged is not None:
+            self.switch(self.staged.routes.version)
+        self.late = False
         if doubt is not None:
             if self.staged is not None:
                 self.switch(self.staged.routes.version)
@@ -168,12 +173,14 @@
             held = [self.bodies[f] for f in wanted]
             routes = await self.node.seams.apart(lambda: Routes(head["version"], assemble(held)))
             if self.staged is None or routes.version > self.staged.routes.version:
-                self.staged = Staged(routes, head, now())
+                fresh = self.staged is None
+                since = now() if fresh else self.staged.since
+                self.staged = Staged(routes, head, since)
                 self.node.log(501, version=routes.version, fetched=len(missing))
-                if self.active is None:
+                if self.active is None or self.late:
                     self.switch(routes.version)
-                else:
-                    self.node.nursery.start_soon(self.switch_alone, routes.version)
+                elif fresh:
+                    self.node.nursery.start_soon(self.switch_alone, since)
             return True
 
     async def fetch(self, missing, source):
@@ -194,9 +201,12 @@
                 return bodies
         return None
 
-    async def switch_alone(self, version):
+    async def switch_alone(self, since):
+        """Without word to switch: whatever is staged by then. Changes that follow one another
+        quickly don't put it off."""
         await rest(SWITCH_ALONE)
-        self.switch(version)
+        if self.staged is not None and self.staged.since == since:
+            self.switch(self.staged.routes.version)
 
     def switch(self, version):
         staged = self.staged
--- a/packages/mdregister/mdregister/__init__.py
+++ b/packages/mdregister/mdregister/__init__.py
@@ -5,6 +5,15 @@
 """
 
 from mdregister.keeper import Keeper, Lost, sealed, unsealed
-from mdregister.proposer import NoMajority, Proposer, Unclear
+from mdregister.proposer import NoMajority, Proposer, Unclear, holds_majorities
 
-__all__ = ["Keeper", "Lost", "NoMajority", "Proposer", "Unclear", "sealed", "unsealed"]
+__all__ = [
+    "Keeper",
+    "Lost",
+    "NoMajority",
+    "Proposer",
+    "Unclear",
+    "holds_majorities",
+    "sealed",
+    "unsealed",
+]
--- a/packages/mdregister/mdregister/keeper.py
+++ b/packages/mdregister/mdregister/keeper.py
@@ -46,7 +46,8 @@
 class Keeper:
     def __init__(self, disk, log):
         self.disk, self.log = disk, log
-        self.cells = {}  # key -> Cell, or None when lost
+        self.cells = {}  # key's fingerprint -> Cell, or None when lost
+        self.keys = {}  # key's fingerprint -> key
         self.locks = {}
 
     async def load(self):
@@ -63,6 +64,7 @@
                 self.cells[folder] = None
                 continue
             key, promised, accepted, value = ormsgpack.unpackb(body)
+            self.keys[folder] = key
             self.cells[folder] = Cell(tuple(promised), tuple(accepted), value, int(newest))
             await self.sweep(folder, newest)
 
@@ -85,6 +87,7 @@
         old = self.cells.get(folder, Cell()).file
         body = ormsgpack.packb([key, promised, accepted, value])
         await self.disk.write(f"key/{folder}/{old + 1:012d}", sealed(body))
+        self.keys[folder] = key
         self.cells[folder] = Cell(promised, accepted, value, old + 1)
         if old:
             await self.disk.remove(f"key/{folder}/{old:012d}")
--- a/packages/mdregister/mdregister/proposer.py
+++ b/packages/mdregister/mdregister/proposer.py
@@ -19,13 +19,14 @@
 
 
 class Proposer:
-    """ask(member, method, args) -> answer, or raises; members() -> the voters' names.
+    """ask(member, method, args) -> answer, or raises. groups() -> lists of voters; a quorum holds
+    a majority of each list: one list as a rule, the old and the new while members change.
 
     Invariant: round never goes down, and each ballot (round, name) is used for one value only.
     The name must be unique to this process's life: a restarted proposer may reuse a round."""
 
-    def __init__(self, name, members, ask, rng, nursery):
-        self.name, self.members, self.ask = name, members, ask
+    def __init__(self, name, groups, ask, rng, nursery):
+        self.name, self.groups, self.ask = name, groups, ask
         self.rng, self.nursery = rng, nursery
         self.round = 0
 
@@ -36,7 +37,7 @@
     async def gather(self, method, args, due, enough):
         """Answers so far, as soon as `enough(answers)` says so, all have answered, or the due.
         Slower members are still told: their tasks end by themselves, at the due at the latest."""
-        answers, voters, done = {}, list(self.members()), trio.Event()
+        answers, voters, done = {}, self.voters(), trio.Event()
 
         async def one(member):
             try:
@@ -52,8 +53,11 @@
             await done.wait()
         return {m: a for m, a in answers.items() if not isinstance(a, Exception)}
 
-    def majority(self):
-        return len(self.members()) // 2 + 1
+    def voters(self):
+        return sorted({member for group in self.groups() for member in group})
+
+    def quorum(self, members):
+        return holds_majorities(self.groups(), members)
 
     async def change(self, key, make, due):
         """make(old value) -> new value, or raises to leave all as it is. Gives the new value.
@@ -62,25 +66,25 @@
         wrote = False
         while True:
             ballot = self.ballot()
-            need = self.majority()
-            told = await self.gather("prepare", [key, ballot], due, lambda a: count_yes(a) >= need)
-            yes = [answer for answer in told.values() if answer[0] == "yes"]
-            if len(yes) >= need:
+            told = await self.gather("prepare", [key, ballot], due, self.agree)
+            if self.agree(told):
+                yes = [told[member] for member in yes_of(told)]
                 accepted, value = max(((tuple(a[1]), a[2]) for a in yes), key=lambda p: p[0])
                 new = make(value if accepted != ZERO else None)
                 wrote = True
-                told = await self.gather(
-                    "write", [key, ballot, new], due, lambda a: count_yes(a) >= need
-                )
-                if count_yes(told) >= need:
+                told = await self.gather("write", [key, ballot, new], due, self.agree)
+                if self.agree(told):
                     return new
             self.learn(told)
-            if now() >= due or len(told) < need:
+            if now() >= due or not self.quorum(told):
                 if now() + 50 * MILLI >= due:
                     raise (Unclear if wrote else NoMajority)(key)
                 await rest(50 * MILLI)
             await rest(self.rng.randrange(1, 20) * MILLI)
 
+    def agree(self, answers):
+        return self.quorum(yes_of(answers))
+
     def learn(self, told):
         self.round = max(
             [self.round, *(answer[1][0] for answer in told.values() if answer[0] == "no")]
@@ -88,30 +92,44 @@
 
     async def read(self, key, due):
         """The value that stands. One round if a majority agrees, else it is written again."""
-        need = self.majority()
         soon = min(due, now() + READ_WAIT)
-        told = await self.gather("read", [key], soon, lambda a: agreed(a, need) is not None)
-        same = agreed(told, need)
+        told = await self.gather(
+            "read", [key], soon, lambda a: agreed(a, self.groups()) is not None
+        )
+        same = agreed(told, self.groups())
         if same is not None:
             return same[1]
         return await self.change(key, lambda old: old, due)
 
 
-def count_yes(answers):
-    return sum(1 for a in answers.values() if not isinstance(a, Exception) and a[0] == "yes")
+def holds_majorities(groups, members):
+    """
+    >>> holds_majorities([["a", "b", "c"], ["b", "c", "d"]], ["a", "b"])
+    False
+    >>> holds_majorities([["a", "b", "c"], ["b", "c", "d"]], ["b", "c"])
+    True
+    >>> holds_majorities([], ["a"])
+    False
+    """
+    held = set(members)
+    return bool(groups) and all(len(held & set(group)) > len(group) // 2 for group in groups)
+
+
+def yes_of(answers):
+    return [m for m, a in answers.items() if not isinstance(a, Exception) and a[0] == "yes"]
 
 
-def agreed(answers, need):
-    """The accepted pair that a majority holds and that is the highest told.
+def agreed(answers, groups):
+    """The accepted pair that a quorum holds and that is the highest told.
 
-    >>> agreed({"a": ((2, "x"), 7), "b": ((2, "x"), 7), "c": ((1, "y"), 6)}, 2)
+    >>> agreed({"a": ((2, "x"), 7), "b": ((2, "x"), 7), "c": ((1, "y"), 6)}, ["abc"])
     ((2, 'x'), 7)
-    >>> agreed({"a": ((2, "x"), 7), "b": ((1, "y"), 6), "c": ((1, "y"), 6)}, 2) is None
+    >>> agreed({"a": ((2, "x"), 7), "b": ((1, "y"), 6), "c": ((1, "y"), 6)}, ["abc"]) is None
     True
     """
-    told = [(tuple(a[0]), a[1]) for a in answers.values() if not isinstance(a, Exception)]
-    if len(told) < need:
+    told = {m: (tuple(a[0]), a[1]) for m, a in answers.items() if not isinstance(a, Exception)}
+    if not told:
         return None
-    highest = max(ballot for ballot, _ in told)
-    same = [pair for pair in told if pair[0] == highest]
-    return same[0] if len(same) >= need else None
+    highest = max(ballot for ballot, _ in told.values())
+    same = {m: pair for m, pair in told.items() if pair[0] == highest}
+    return next(iter(same.values())) if holds_majorities(groups, same) else None
--- a/packages/mdsim/mdsim/net.py
+++ b/packages/mdsim/mdsim/net.py
@@ -18,6 +18,7 @@
         self.links = {}  # address -> (nursery, handler, net)
         self.apps = {}  # address -> (app, net)
         self.cuts = set()
+        self.losing = {}  # address -> share of its answers that are lost after the work
         self.healed = trio.Event()
 
     def delay(self):
@@ -26,6 +27,11 @@
     def cut(self, a, b, both=True):
         self.cuts |= {(a, b), *([(b, a)] if both else [])}
 
+    def mend(self, pairs):
+        self.cuts -= set(pairs)
+        self.healed.set()
+        self.healed = trio.Event()
+
     def heal(self):
         self.cuts = set()
         self.healed.set()
@@ -249,6 +255,8 @@
             await done.wait()
         finally:
             hung.set()
+        if web.rng.random() < web.losing.get(self.address, 0):
+            return None
         if not net.alive or not told or told[-1].get("more_body"):
             return None
         start = told[0]
--- a/packages/mdsim/mdsim/world.py
+++ b/packages/mdsim/mdsim/world.py
@@ -62,6 +62,7 @@
     def reschedule(self, task, *outcome):
         process = task.context.get(owner)
         if process is not None and process.frozen is not None:
+            task._abort_func = None  # woken already: nothing may wake it again
             process.frozen.append((task, outcome))
         else:
             original(self, task, *outcome)
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -298,3 +298,38 @@
     errors = errors_of(manifest(ways))
     assert errors
     assert all(error.startswith("manifest.ways.150") for error in errors)
+
+
+def test_a_proxy_that_was_cut_off_switches_at_once_when_it_is_back():
+    async def scenario(world):
+        host = await first_cut_off(world)
+        version = await world.configure(manifest([way("x", "/balances")]))
+        await rest(2 * SECOND)
+        world.web.heal()
+        delivery = world.part("mdproxy", host).delivery
+        await world.eventually(lambda: not delivery.cut_off)
+        took = await world.eventually(lambda: delivery.version == version, every=MILLI)
+        assert took < 50 * MILLI
+
+    run(scenario, application=("desk",))
+
+
+def test_changes_that_follow_one_another_put_off_no_switch():
+    async def scenario(world):
+        await serving(world)
+        host = hosts(world)[0]
+        delivery = world.part("mdproxy", host).delivery
+        for part in (world.part("mdconf", c) for c in world.core):
+
+            async def nobody_delivers(head):
+                await rest(0)
+
+            part.deliver = nobody_delivers
+        begun = now()
+        for number in range(8):
+            await world.configure(manifest([way(f"w{number}", "/balances")]), number % 3)
+            await rest(300 * MILLI)
+        assert now() - begun > 2 * SECOND
+        assert delivery.version >= 3
+
+    run(scenario, application=("desk",))
--- /dev/null
+++ b/tests/test_members_change.py
@@ -0,0 +1,129 @@
+"""Members of the register that are swapped: disks lost, machines replaced, under load."""
+
+from __future__ import annotations
+
+import trio
+from facts import manifest, way
+from mesh import configured, hosts, serving
+
+from mdseam import SECOND, rest
+from mdsim import run
+
+
+def changed(number):
+    return manifest([way(f"w{number}", "/balances")])
+
+
+def test_a_lost_disk_votes_again_after_a_member_change():
+    async def scenario(world):
+        await configured(world)
+        host = world.core[0]
+        world.power_off("mdconf", host)
+        world.lose_disk("mdconf", host)
+        await world.start("mdconf", host)
+        link = f"{host}:7421"
+        status, told = await world.operate("POST", "/members", {"old": link, "new": link}, core=1)
+        assert (status, told["state"]) == (200, "changed"), told
+        await world.eventually(lambda: not world.node("mdconf", host).not_ready())
+        world.kill(f"mdconf@{world.core[1]}")  # the new disk is needed for a majority now
+        assert await world.configure(changed(1), core=2) == 2
+        assert (await world.operate("GET", "/manifest"))[1]["version"] == 2
+
+    run(scenario)
+
+
+def test_all_machines_swapped_one_after_another_while_operators_go_on():
+    async def scenario(world):
+        await serving(world)
+        new = [f"10.0.2.{n}" for n in range(1, 4)]
+        done = trio.Event()
+        versions = []
+
+        async def operators():
+            number = 0
+            while not done.is_set():
+                number += 1
+                core = number % len(world.core)
+                status, planned = await world.operate("POST", "/plan", changed(number), core)
+                if status == 200 and planned["plan"]:
+                    status, told = await world.operate(
+                        "POST", "/confirm", {"plan": planned["plan"]}, core
+                    )
+                    if status == 200:
+                        versions.append(told["version"])
+                await rest(200_000)
+
+        async def swap():
+            for index, host in enumerate(new):
+                world.halls[host] = "a"
+                await world.start("mdconf", host)
+                old = world.core[index]
+                facts = {"old": f"{old}:7421", "new": f"{host}:7421"}
+                await world.eventually(lambda h=host: world.part("mdconf", h).store.record)
+                status, told = await world.operate("POST", "/members", facts, index)
+                assert (status, told.get("state")) == (200, "changed"), told
+                world.core[index] = host
+                world.kill(f"mdconf@{old}")
+            await rest(SECOND)
+            done.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(operators)
+            await swap()
+        assert len(versions) > 5
+        assert versions == sorted(set(versions))
+        status, told = await world.operate("GET", "/manifest")
+        assert (status, told["version"]) == (200, versions[-1])
+        await rest(3 * SECOND)
+        assert {world.part("mdproxy", h).delivery.version for h in hosts(world)} == {versions[-1]}
+
+    run(scenario)
+
+
+def test_a_member_change_that_was_broken_off_is_ended_by_the_same_call():
+    async def scenario(world):
+        await configured(world)
+        world.halls["10.0.2.1"] = "a"
+        await world.start("mdconf", "10.0.2.1")
+        await world.eventually(lambda: world.part("mdconf", "10.0.2.1").store.record)
+        part = world.part("mdconf", world.core[1])
+        killed = trio.Event()
+
+        async def die(due):
+            world.kill(f"mdconf@{world.core[1]}")
+            killed.set()
+            await trio.sleep_forever()
+
+        part.carry_over = die
+        facts = {"old": f"{world.core[0]}:7421", "new": "10.0.2.1:7421"}
+
+        async def first():
+            with trio.move_on_after(5):
+                try:
+                    await world.operate("POST", "/members", facts, 1)
+                except Exception:
+                    pass
+
+        world.nursery.start_soon(first)
+        await killed.wait()
+        await world.start("mdconf", world.core[1])
+        await rest(3 * SECOND)
+        other = {"old": f"{world.core[2]}:7421", "new": "10.0.2.1:7421"}
+        status, told = await world.operate("POST", "/members", other, 2)
+        assert (status, told["code"]) == (409, "another_change")
+        status, told = await world.operate("POST", "/members", facts, 2)
+        assert (status, told.get("state")) == (200, "changed"), told
+        assert await world.configure(changed(1), core=2) == 2
+
+    run(scenario)
+
+
+def test_who_is_not_there_can_not_come_in():
+    async def scenario(world):
+        await configured(world)
+        facts = {"old": f"{world.core[0]}:7421", "new": "10.0.2.9:7421"}
+        status, told = await world.operate("POST", "/members", facts, 1)
+        assert (status, told["code"], told["absent"]) == (409, "absent", ["10.0.2.9:7421"])
+        assert await world.configure(changed(1)) == 2
+
+    run(scenario)
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -24,7 +24,7 @@
         self.lose_answers = 0.0
 
     def proposer(self, name):
-        return Proposer(name, lambda: list(self.keepers), self.ask, self.rng, self.nursery)
+        return Proposer(name, lambda: [list(self.keepers)], self.ask, self.rng, self.nursery)
 
     async def ask(self, member, method, args, due):
         await rest(self.rng.randrange(100, 3000))
