A proxy counts as cut off until the core's version is in force there

Cause: the mark on an answer was read when the answer left, and cleared when the core was reached but its version not yet fetched; a call decided by the old version meanwhile went unmarked.

--- /dev/null
+++ b/packages/mddrill/mddrill/drill.py
@@ -0,0 +1,309 @@
+"""One drill: calls everywhere, a change by an operator, a hall taken out and brought back."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+from dataclasses import dataclass
+
+import trio
+
+from mdctl.client import Unclear, Unreachable, ask
+from mdlib import Client
+from mdseam import MILLI, SECOND, HttpBreakdown, Net, now, rest, until
+from mdsim.history import Asked, History, Operated
+
+RETURN_WITHIN = 15 * SECOND
+HOWS = {"kill": signal.SIGKILL, "freeze": signal.SIGSTOP, "stop": signal.SIGTERM}
+
+
+@dataclass(frozen=True)
+class Finding:
+    promise: str
+    state: str  # "held", "broken" or "not exercised"
+    evidence: str
+
+
+class Drill:
+    """Invariant: out holds the names of processes that this drill took out and did not bring
+    back yet; it is empty when the drill ends."""
+
+    def __init__(self, folder, hall, how, seconds):
+        self.folder, self.hall, self.how, self.seconds = folder, hall, how, seconds
+        self.facts = self.read_facts()
+        self.history = History()
+        self.out = {}
+        self.exits = {}
+        self.returned = {}
+        self.tries = []
+        self.over = False
+        self.number = 0
+        self.tag = f"drill{os.getpid()}"
+        self.keyed_kinds = set()
+
+    def read_facts(self):
+        with open(os.path.join(self.folder, "fleet.json"), encoding="utf-8") as file:
+            return json.load(file)
+
+    # ------------------------------------------------------------ load and operator
+
+    async def calls(self, host, stream):
+        client = Client(Net(host), self.facts["proxies"][host])
+        while not self.over:
+            self.number += 1
+            uid = f"{self.tag}-{self.number}"
+            path = f"{stream['path']}/{uid}"
+            asked = Asked(uid, host, stream["name"], "guest", now())
+            connection = Net(host).http(client.proxy)
+            lines = [(b"md-key", uid.encode())] if stream.get("keyed") else []
+            body = b'{"amount": 1}' if stream["method"] == "POST" else b""
+            sent = False
+
+            def started():
+                nonlocal sent
+                sent = True
+
+            try:
+                with until(now() + 6 * SECOND):
+                    status, headers, answer = await connection.request(
+                        stream["method"], path, lines, body, started
+                    )
+                    told = {n.lower(): v for n, v in headers}
+                    asked.verdict = told[b"md-verdict"].decode()
+                    asked.body = json.loads(answer)
+                    asked.code = str(status) if asked.verdict == "ran" else asked.body["code"]
+                    asked.version = int(told[b"md-version"])
+                    asked.cut_off = b"md-cut-off" in told
+            except HttpBreakdown:
+                asked.verdict = "may-have-run" if sent else "not-run"
+                asked.code = "proxy_lost"
+            finally:
+                await connection.close()
+            asked.answered = now()
+            asked.path = path
+            self.history.asked.append(asked)
+            await rest(50 * MILLI)
+
+    async def operate(self, method, path, facts=None):
+        body = json.dumps(facts).encode() if facts is not None else b""
+        return await trio.to_thread.run_sync(ask, self.facts["core"], method, path, body)
+
+    async def change(self):
+        """A harmless change there and back: the share that a spilled call costs at home."""
+        status, told = await self.operate("GET", "/manifest")
+        if status != 200:
+            return
+        manifest = told["manifest"]
+        share = manifest["load"]["share"]
+        for value in (round(share + 0.001, 6), share):
+            manifest["load"]["share"] = value
+            status, planned = await self.operate("POST", "/plan", manifest)
+            if status != 200 or not planned["plan"]:
+                continue
+            done = Operated("confirm", now(), 0, "unclear", mark=str(value))
+            self.history.operated.append(done)
+            status, told = await self.operate("POST", "/confirm", {"plan": planned["plan"]})
+            done.end = now()
+            if status == 200:
+                done.outcome, done.version = "ok", told["version"]
+            await rest(3 * SECOND)
+
+    async def read_back(self):
+        done = Operated("read", now(), 0, "refused")
+        status, told = await self.operate("GET", "/manifest")
+        if status == 200:
+            done.outcome, done.version = "ok", told["version"]
+            done.mark = str(told["manifest"]["load"]["share"])
+        done.end = now()
+        self.history.operated.append(done)
+
+    async def watch_tries(self):
+        """Second tries of all proxies' windows together, each second."""
+        while not self.over:
+            requests = tries = 0
+            for host, proxy in self.facts["proxies"].items():
+                connection = Net(host).http(proxy)
+                try:
+                    with until(now() + 500 * MILLI):
+                        _, _, body = await connection.request("GET", "/md/status", [], b"")
+                        window = json.loads(body)["second_tries"]
+                        requests += window["requests"]
+                        tries += window["tries"]
+                except (HttpBreakdown, ValueError):
+                    pass
+                finally:
+                    await connection.close()
+            self.tries.append((requests, tries))
+            await rest(SECOND)
+
+    # ------------------------------------------------------------ the hall
+
+    def inside(self, name):
+        parts = name.split("-")
+        return parts[0] in ("mdproxy", "mdreg", "mdconf", "endpoint") and (
+            self.facts["halls"].get(parts[1]) == self.hall
+        )
+
+    async def take_out(self):
+        for name, process in self.facts["processes"].items():
+            if self.inside(name):
+                os.kill(process["pid"], HOWS[self.how])
+                self.out[name] = process["pid"]
+
+    async def bring_back(self):
+        """Frozen ones go on; others are started again by the fleet that owns them."""
+        self.history.calm_from = now()
+        if self.how == "freeze":
+            for pid in self.out.values():
+                os.kill(pid, signal.SIGCONT)
+        else:
+            os.makedirs(os.path.join(self.folder, "again"), exist_ok=True)
+            for name in self.out:
+                with open(os.path.join(self.folder, "again", name), "w", encoding="ascii"):
+                    pass
+        self.out = {}
+        with until(now() + 2 * RETURN_WITHIN):
+            async with trio.open_nursery() as nursery:
+                for host, proxy in self.facts["proxies"].items():
+                    nursery.start_soon(self.wait_ready, host, proxy)
+
+    async def wait_ready(self, host, proxy):
+        while host not in self.returned:
+            connection = Net(host).http(proxy)
+            try:
+                with until(now() + SECOND):
+                    status, _, _ = await connection.request("GET", "/ready", [], b"")
+                    if status == 200:
+                        self.returned[host] = now() - self.history.calm_from
+            except HttpBreakdown:
+                pass
+            finally:
+                await connection.close()
+            await rest(100 * MILLI)
+
+    async def run(self, streams):
+        """streams: {host: [stream, ...]} of what guests may call there."""
+        try:
+            async with trio.open_nursery() as nursery:
+                self.keyed_kinds = {
+                    s["name"] for w in streams.values() for s in w if s.get("keyed")
+                }
+                for host, wanted in streams.items():
+                    for stream in wanted:
+                        nursery.start_soon(self.calls, host, stream)
+                nursery.start_soon(self.watch_tries)
+                await rest(3 * SECOND)
+                await self.take_out()
+                await rest(SECOND)
+                with trio.move_on_after(15):
+                    await self.change_if_possible()
+                await rest(self.seconds * SECOND)
+                await self.bring_back()
+                await rest(max(0, self.history.calm_from + RETURN_WITHIN - now()) + 3 * SECOND)
+                self.over = True
+        finally:
+            if self.out:
+                with trio.CancelScope(shield=True):
+                    await self.bring_back()
+        try:
+            await self.read_back()
+        except (Unclear, Unreachable):
+            pass
+        return self.findings()
+
+    async def change_if_possible(self):
+        try:
+            await self.change()
+        except (Unclear, Unreachable):
+            pass
+
+    # ------------------------------------------------------------ findings
+
+    def journal(self):
+        """{key: executions} of this drill's own keys."""
+        found = {}
+        for name in sorted(os.listdir(self.folder)):
+            if name.startswith("journal-"):
+                with open(os.path.join(self.folder, name), encoding="utf-8") as file:
+                    for line in map(json.loads, file):
+                        if line["key"].startswith(self.tag + "-"):
+                            found.setdefault(line["key"], []).append(line)
+        return found
+
+    def findings(self):
+        return [*self.calls_findings(), *self.manifest_findings(), *self.fleet_findings()]
+
+    def calls_findings(self):
+        ran, asked = self.journal(), self.history.asked
+        keyed = [a for a in asked if a.uid in ran or a.kind in self.keyed_kinds]
+        twice = [key for key, lines in ran.items() if len(lines) > 1]
+        yield finding("a run-once call runs at most once", keyed, twice)
+        not_run = [a for a in keyed if a.verdict == "not-run"]
+        yield finding("a not-run answer is true", not_run, [a.uid for a in not_run if a.uid in ran])
+        good = [a for a in asked if a.verdict == "ran" and a.code == "200"]
+        yield finding(
+            "an answer is the caller's own and whole",
+            good,
+            [a.uid for a in good if a.body.get("path") != a.path],
+        )
+        yield finding(
+            "services hear the true name of their caller",
+            good,
+            [a.uid for a in good if a.body.get("caller") != a.caller],
+        )
+        stopped = [a for a in asked if self.how == "stop"]
+        lost = [f"{a.uid} {a.code}" for a in stopped if a.verdict == "may-have-run"]
+        yield finding("a planned stop drops no call in flight", stopped, lost)
+
+    def manifest_findings(self):
+        accepted = [o for o in self.history.operated if o.act == "confirm" and o.outcome == "ok"]
+        late, back = [], []
+        newest = {}
+        for asked in sorted(self.history.asked, key=lambda a: a.sent):
+            if asked.version is None or asked.cut_off:
+                continue
+            due = max((o.version for o in accepted if o.end + 2 * SECOND <= asked.sent), default=0)
+            if asked.version < due:
+                late.append(f"{asked.host} {asked.version} < {due}")
+            if asked.version < newest.get(asked.host, 0):
+                back.append(f"{asked.host} {asked.version} after {newest[asked.host]}")
+            newest[asked.host] = max(newest.get(asked.host, 0), asked.version)
+        yield finding("an accepted change is in force within 2 s", accepted, late)
+        yield finding("no machine slips back to an older change", accepted, back)
+        reads = [o for o in self.history.operated if o.act == "read" and o.outcome == "ok"]
+        wrong = [
+            f"read {reads[-1].version}, accepted {o.version}"
+            for o in accepted
+            if reads and reads[-1].version < o.version
+        ]
+        yield finding("read back is what was last accepted", accepted and reads, wrong)
+
+    def fleet_findings(self):
+        over = [f"{t} of {r}" for r, t in self.tries if t > 0.2 * r + 36]
+        yield finding("second tries stay within one in five and a few dozen", self.tries, over)
+        slow = [
+            f"{host}: {self.returned.get(host, 'not')}"
+            for host in self.facts["proxies"]
+            if self.returned.get(host, RETURN_WITHIN + 1) > RETURN_WITHIN
+        ]
+        after = [
+            a
+            for a in self.history.asked
+            if self.history.calm_from and a.sent > self.history.calm_from + RETURN_WITHIN
+        ]
+        failed = [f"{a.host} {a.code}" for a in after if a.verdict != "ran"]
+        yield finding("service returns within 15 s", after, slow + failed)
+        yield Finding("a leaving endpoint gets no new calls after 2 s", "not exercised", "")
+
+
+def finding(promise, exercised, broken):
+    """
+    >>> finding("x", [], []).state, finding("x", [1], []).state, finding("x", [1], ["y"]).state
+    ('not exercised', 'held', 'broken')
+    """
+    if broken:
+        return Finding(promise, "broken", f"{len(broken)}: " + "; ".join(broken[:3]))
+    if not exercised:
+        return Finding(promise, "not exercised", "")
+    return Finding(promise, "held", f"{len(exercised)} looked at")
--- a/packages/mdfleet/mdfleet/__main__.py
+++ b/packages/mdfleet/mdfleet/__main__.py
@@ -27,7 +27,7 @@
                 f"{topology} is up at version {version}; facts in {folder}/fleet.json", flush=True
             )
             print(f"export MD_CORE={','.join(fleet.conf_http)}", flush=True)
-            wait_for_signal()
+            wait_for_signal(fleet.again)
         finally:
             fleet.down()
 
@@ -51,11 +51,12 @@
             fleet.down()
 
 
-def wait_for_signal():
+def wait_for_signal(meanwhile):
     asked = threading.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, lambda *_: asked.set())
-    asked.wait()
+    while not asked.wait(0.2):
+        meanwhile()
 
 
 def main():
--- a/packages/mdfleet/mdfleet/fleet.py
+++ b/packages/mdfleet/mdfleet/fleet.py
@@ -10,6 +10,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 import tomllib
 import urllib.error
@@ -111,7 +112,7 @@
 
     def up(self):
         shutil.rmtree(self.folder, ignore_errors=True)
-        for part in ("boot", "logs", "data"):
+        for part in ("boot", "logs", "data", "again"):
             os.makedirs(os.path.join(self.folder, part))
         with open(os.path.join(self.folder, "fleet.key"), "w", encoding="ascii") as key:
             key.write(secrets.token_hex(32))
@@ -175,6 +176,28 @@
         self.note()
         return version
 
+    def again(self):
+        """Start again what a drill took out and asks back: a file by its name in FOLDER/again."""
+        folder = os.path.join(self.folder, "again")
+        for name in sorted(os.listdir(folder), reverse=True):  # daemons before their endpoints
+            os.remove(os.path.join(folder, name))
+            kind, host, *port = name.split("-")
+            former = self.processes.pop(name)
+            if former.handle.poll() is None:
+                former.handle.kill()
+            former.handle.wait()
+            if kind == "endpoint":
+                former.handle.stdout.close()
+                _, handle = self.start_endpoint(host, int(port[0]))
+                threading.Thread(target=self.learn_token, args=(host, handle), daemon=True).start()
+            else:
+                self.start_daemon(kind, host)
+            self.note()
+
+    def learn_token(self, host, handle):
+        self.tokens[host] = json.loads(handle.stdout.readline() or '{"token": null}')["token"]
+        self.note()
+
     def knobs(self, host, port=8000, **knobs):
         """Turn a stand-in endpoint's knobs."""
         body = json.dumps(knobs).encode()
--- a/packages/mdproxy/mdproxy/delivery.py
+++ b/packages/mdproxy/mdproxy/delivery.py
@@ -37,7 +37,6 @@
         self.active = None  # Staged
         self.staged = None
         self.bodies = {}
-        self.confirmed_at = None
         self.pulse_at = now()
         self.cut_off = self.late = False
         self.last_source = None
@@ -94,30 +93,28 @@
         """Ask the core for the head; fetch and stage what is newer. A doubt that arose after the
         asking is not settled by its answer, which may have lain in a buffer all the while."""
         doubt = self.doubtful
+        # others have switched while this process was away: it does so at once
+        self.late = self.cut_off or doubt is not None
         head, source = await self.ask_core()
-        if head is None:
-            if not self.cut_off:
-                self.cut_off = True
-                self.node.log(503, version=self.version)
+        reached = head is not None
+        if not reached:
             head, source = await self.ask_peers()
-        else:
-            # others have switched while this process was away: it does so at once
-            self.late = self.cut_off or doubt is not None
-            if self.late:
-                self.node.log(504, version=head["version"])
-            self.cut_off = False
+        whole = True
         if head is not None and head["version"] > self.newest:
-            await self.stage(head, source)
-        elif self.late and self.staged is not None:
+            whole = await self.stage(head, source)
+        if self.late and self.staged is not None:
             self.switch(self.staged.routes.version)
         self.late = False
+        # cut off until the core's version is in force here, or staged in its ordinary turn
+        away = not (reached and whole)
+        if away and not self.cut_off:
+            self.node.log(503, version=self.version)
+        elif not away and (self.cut_off or doubt is not None):
+            self.node.log(504, version=self.version)
+        self.cut_off = away
         if doubt is not None:
-            if self.staged is not None:
-                self.switch(self.staged.routes.version)
             doubt.set()
             self.doubtful = None
-        if not self.cut_off:
-            self.confirmed_at = now()
 
     async def ask_core(self):
         """The member that answered last; if it doesn't, three others at once."""
--- a/packages/mdproxy/mdproxy/part.py
+++ b/packages/mdproxy/mdproxy/part.py
@@ -301,6 +301,7 @@
             version=routes.version,
             due=now() + total,
             key=key,
+            cut_off=self.delivery.cut_off,
         )
 
     async def watched(self, call, request):
@@ -343,12 +344,13 @@
         return call.outcome.verdict.value
 
     def reply(self, outcome, call):
+        cut_off = call.cut_off if call else self.delivery.cut_off
         lines = [
             (b"md-verdict", outcome.verdict.value.encode()),
             (b"md-node", self.node.boot.name.encode()),
             *([(b"md-call", call.id.encode())] if call else []),
             (b"md-version", str(call.version if call else self.delivery.version).encode()),
-            *([(b"md-cut-off", b"1")] if self.delivery.cut_off else []),
+            *([(b"md-cut-off", b"1")] if cut_off else []),
         ]
         if isinstance(outcome, Answer):
             self.walker.count(f"answer.{outcome.status // 100}xx")
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -333,3 +333,27 @@
         assert delivery.version >= 3
 
     run(scenario, application=("desk",))
+
+
+def test_an_answer_says_cut_off_as_it_was_when_the_call_was_decided():
+    async def scenario(world):
+        host = await first_cut_off(world)
+        told = []
+
+        async def call():
+            told.append((await world.http(host, "GET", f"{host}:7400", "/balances/1"))[1])
+
+        world.part("mdproxy", host).walker.book.by_address[f"{host}:8000"].capacity = 9
+        version = await world.configure(manifest([way("x", "/balances")]))
+        async with trio.open_nursery() as nursery:
+            for _ in range(200):
+                nursery.start_soon(call)
+                await rest(MILLI)
+                if len(told) == 50:
+                    world.web.heal()
+        stale = [t for t in told if int(t[b"md-version"]) < version]
+        assert len(stale) > 50
+        assert len(stale) < len(told)
+        assert all(b"md-cut-off" in t for t in stale)
+
+    run(scenario, application=("desk",))
