--- a/packages/mdboot/mdboot/__init__.py
+++ b/packages/mdboot/mdboot/__init__.py
@@ -177,8 +177,9 @@
     return value if isinstance(value, list) else str(value)
 
 
-def command(role, start):
-    """The command line of a daemon: run, check, --version, --help."""
+def command(role, start, **extra):
+    """The command line of a daemon: run, check, --version, --help, and extra commands of
+    (boot file, **flags)."""
 
     @fire.decorators.SetParseFn(str)
     def run(boot=None, host=None, hall=None, seeds=None, data=None, fleet_key=None):
@@ -198,7 +199,7 @@
             return
         os.environ.setdefault("PAGER", "cat")
         try:
-            fire.Fire({"run": run, "check": check}, command=words, name=role)
+            fire.Fire({"run": run, "check": check, **extra}, command=words, name=role)
         except BootErrors as bad:
             print("\n".join(bad.errors), file=sys.stderr)
             sys.exit(2)
--- a/packages/mdconf/mdconf/store.py
+++ b/packages/mdconf/mdconf/store.py
@@ -77,3 +77,18 @@
                 held.add(name)
             await trio.lowlevel.checkpoint()
         return [name for name in names if name not in held]
+
+
+async def rescue(disk, link, change):
+    """What this disk holds; with change, it becomes the only voter, under a record that is
+    newer than any the others can have."""
+    store = Store(disk, None, lambda *_, **__: None)
+    if await disk.read("disk") is None:
+        raise SystemExit("there is no member's disk here")
+    await store.load()
+    head = store.keeper.cells.get(fingerprint(b"manifest/head"))
+    version = head.value["version"] if head and head.value else 0
+    if change and store.record:
+        record = {"version": store.record["version"] + 1000, "voters": {store.disk: link}}
+        await store.adopt({**record, "next": None})
+    return f"disk {store.disk}, manifest version {version}, members' record {store.record}"
--- a/tests/test_members_change.py
+++ b/tests/test_members_change.py
@@ -6,6 +6,7 @@
 from facts import manifest, way
 from mesh import configured, hosts, serving
 
+from mdconf.store import rescue
 from mdseam import SECOND, rest
 from mdsim import run
 
@@ -118,6 +119,36 @@
     run(scenario)
 
 
+def test_a_lost_majority_is_refused_and_goes_on_from_one_disk_by_the_operators_word():
+    async def scenario(world):
+        await configured(world)
+        assert await world.configure(changed(1)) == 2
+        await rest(SECOND)
+        for host in world.core:
+            world.power_off("mdconf", host)
+        for host in world.core[1:]:
+            world.lose_disk("mdconf", host)
+            await world.start("mdconf", host)
+        survivor = world.core[0]
+        await world.start("mdconf", survivor)
+        await rest(3 * SECOND)
+        status, told = await world.operate("GET", "/manifest")
+        assert (status, told["code"]) == (503, "no_majority")
+        world.kill(f"mdconf@{survivor}")
+        await rescue(world.disks["mdconf", survivor], f"{survivor}:7421", True)
+        await world.start("mdconf", survivor)
+        await rest(2 * SECOND)
+        links = [f"{h}:7421" for h in world.core]
+        status, told = await world.operate("POST", "/members", {"set": links})
+        assert (status, told.get("state")) == (200, "changed"), told
+        world.kill(f"mdconf@{survivor}")
+        status, told = await world.operate("GET", "/manifest", core=1)
+        assert (status, told["version"]) == (200, 2)
+        assert await world.configure(changed(2), core=2) == 3
+
+    run(scenario)
+
+
 def test_who_is_not_there_can_not_come_in():
     async def scenario(world):
         await configured(world)
