Defaults omega 0.95 and phi 0.8, from the paper's model at both deployments' sizes

Cause: calls are shorter than an interval, so a node that offloads for a whole interval overfills its targets; omega 0.9 does that often. Ruled out: a shorter interval (little gain, twice the messages) and a lower omega.

--- a/packages/mdmanifest/mdmanifest/check.py
+++ b/packages/mdmanifest/mdmanifest/check.py
@@ -98,7 +98,7 @@
 }
 LOAD = {
     "interval_us": 500_000,
-    "omega": 0.9,
+    "omega": 0.95,
     "phi": 0.8,
     "share": 0.05,
     "stale_us": 2_000_000,
