--- a/packages/mdsim/mdsim/history.py
+++ b/packages/mdsim/mdsim/history.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import dataclass, field
 
 
@@ -20,6 +21,20 @@
     body: object = None
     version: int | None = None
     cut_off: bool = False
+    path: str = ""
+
+    def heard(self, status, headers, body):
+        """A proxy's answer came whole."""
+        lines = {name.lower(): value for name, value in headers}
+        self.verdict = lines[b"md-verdict"].decode()
+        self.body = json.loads(body) if body else None
+        self.code = str(status) if self.verdict == "ran" else self.body["code"]
+        self.version = int(lines[b"md-version"]) if b"md-version" in lines else None
+        self.cut_off = b"md-cut-off" in lines
+
+    def broke(self, sent):
+        """The connection to the proxy broke: an honest caller's own verdict."""
+        self.verdict, self.code = "may-have-run" if sent else "not-run", "proxy_lost"
 
 
 @dataclass
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -54,3 +54,12 @@
 
 def hosts(world):
     return list(world.application)
+
+
+async def first_with_a_blank_disk(world):
+    """The first core machine's disk is lost and its mdconf starts on a new one."""
+    host = world.core[0]
+    world.power_off("mdconf", host)
+    world.lose_disk("mdconf", host)
+    await world.start("mdconf", host)
+    return host
--- a/tests/test_members_change.py
+++ b/tests/test_members_change.py
@@ -4,7 +4,7 @@
 
 import trio
 from facts import manifest, way
-from mesh import configured, hosts, serving
+from mesh import configured, first_with_a_blank_disk, hosts, serving
 
 from mdconf.store import rescue
 from mdseam import SECOND, rest
@@ -18,10 +18,7 @@
 def test_a_lost_disk_votes_again_after_a_member_change():
     async def scenario(world):
         await configured(world)
-        host = world.core[0]
-        world.power_off("mdconf", host)
-        world.lose_disk("mdconf", host)
-        await world.start("mdconf", host)
+        host = await first_with_a_blank_disk(world)
         link = f"{host}:7421"
         status, told = await world.operate("POST", "/members", {"old": link, "new": link}, core=1)
         assert (status, told["state"]) == (200, "changed"), told
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 from facts import manifest, way
-from mesh import configured
+from mesh import configured, first_with_a_blank_disk
 
 from mdregister import Keeper, NoMajority, Proposer, Unclear
 from mdseam import SECOND, MemoryDisk, now, rest
@@ -198,10 +198,7 @@
 def test_a_lost_disk_comes_back_as_no_member():
     async def scenario(world):
         await configured(world)
-        host = world.core[0]
-        world.power_off("mdconf", host)
-        world.lose_disk("mdconf", host)
-        await world.start("mdconf", host)
+        host = await first_with_a_blank_disk(world)
         conf = world.node("mdconf", host)
         await world.eventually(lambda: conf.part.store.record is not None)
         assert conf.not_ready() == ["this disk is no member"]
