--- a/packages/mdsim/mdsim/scenario.py
+++ b/packages/mdsim/mdsim/scenario.py
@@ -41,6 +41,9 @@
 }
 
 
+KNOBS = {"took_us": 15 * MILLI, "garbage": 0.0}  # of a healthy endpoint
+
+
 @dataclass(frozen=True)
 class Fault:
     at: int  # from the storm's begin
@@ -122,7 +125,7 @@
 
     async def place_endpoint(self, host, service, wait=True):
         address = f"{host}:8000"
-        knobs = self.knobs.setdefault(address, {"took_us": 15 * MILLI, "garbage": 0.0})
+        knobs = self.knobs.setdefault(address, dict(KNOBS))
         holder = {}
 
         async def handle(got):
@@ -429,10 +432,9 @@
     async def turn(self, place, span, **changes):
         addresses = sorted(self.knobs)
         knobs = self.knobs[addresses[place % len(addresses)]]
-        before = {name: knobs[name] for name in changes}
         knobs.update(changes)
         await rest(span)
-        knobs.update(before)
+        knobs.update({name: KNOBS[name] for name in changes})  # whoever else turned them
 
     async def slow(self, place, span):
         await self.turn(place, span, took_us=600 * MILLI)
@@ -447,11 +449,16 @@
         self.world.web.losing.pop(address, None)
 
     async def stall_disk(self, place, span):
-        disk = self.world.disks["mdconf", self.world.core[place % len(self.world.core)]]
+        chosen = self.pick([("disk", host) for host in self.world.core], place)
+        if chosen is None:
+            return
+        self.touched.add(chosen)
+        disk = self.world.disks["mdconf", chosen[1]]
         disk.stalled = trio.Event()
         await rest(span)
         stalled, disk.stalled = disk.stalled, None
         stalled.set()
+        self.touched.discard(chosen)
 
     async def slow_disk(self, place, span):
         disk = self.world.disks["mdconf", self.world.core[place % len(self.world.core)]]
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -7,7 +7,7 @@
 
 from mdseam import MILLI, rest
 from mdsim.checkers import verify
-from mdsim.scenario import KINDS, Day, Fault, live
+from mdsim.scenario import KINDS, KNOBS, Day, Fault, live
 from mdsim.world import run
 
 S = 1_000_000
@@ -42,6 +42,19 @@
     assert run(scenario, 3, core=3, application=("desk", "desk", "desk", "paper", "paper")) == []
 
 
+def test_faults_that_overlap_at_one_place_are_both_undone():
+    faults = [Fault(n * S // 4, k, 3, S) for n in (0, 1) for k in ("garbage", "slow", "stall_disk")]
+
+    async def scenario(world):
+        day = Day(world, sorted(faults, key=lambda f: f.at))
+        await day.live()
+        return day.knobs.values(), [d.stalled for d in world.disks.values()]
+
+    knobs, stalled = run(scenario, 1, core=3, application=("desk", "desk", "paper"))
+    assert all(k == KNOBS for k in knobs)
+    assert not any(stalled)
+
+
 @pytest.mark.parametrize("stage", ["arriving", "waiting", "at the endpoint", "spilled"])
 def test_a_proxy_killed_with_a_run_once_call_at_any_stage(stage):
     """The caller hears no false word, and the endpoint ran it at most once."""
