A fresh start serves only what the core confirmed; no reserve of tries for a young process

Cause: a proxy restarted inside a cut took its neighbour's version, which can be older than what this machine served before: a step back. Each restart also brought a fresh reserve of second tries, so a storm of restarts had no bound.

A proxy that hears that a version is in force elsewhere and has it staged switches at once. A connection that could not be opened is no sending and uses no second try.

Ruled out: remembering the version on the application machine (no disk there).

--- a/packages/mdproxy/mdproxy/delivery.py
+++ b/packages/mdproxy/mdproxy/delivery.py
@@ -75,7 +75,10 @@
     def wake(self):
         self.news.set()
 
-    def heard(self, version, address):
+    def heard(self, version, in_force):
+        """News of a version; what is in force elsewhere, and staged here, is in force here too."""
+        if in_force and self.active is not None:
+            self.switch(version)
         if version > self.newest:
             self.wake()
 
@@ -102,7 +105,9 @@
         whole = True
         if head is not None and head["version"] > self.newest:
             whole = await self.stage(head, source)
-        if self.late and self.staged is not None:
+        # a fresh start serves only what the core confirmed: this machine may have served a newer
+        # one than its neighbours have
+        if self.staged is not None and (reached and whole if self.active is None else self.late):
             self.switch(self.staged.routes.version)
         self.late = False
         # cut off until the core's version is in force here, or staged in its ordinary turn
@@ -174,9 +179,9 @@
                 since = now() if fresh else self.staged.since
                 self.staged = Staged(routes, head, since)
                 self.node.log(501, version=routes.version, fetched=len(missing))
-                if self.active is None or self.late:
+                if self.late and self.active is not None:
                     self.switch(routes.version)
-                elif fresh:
+                elif fresh and self.active is not None:
                     self.node.nursery.start_soon(self.switch_alone, since)
             return True
 
--- a/packages/mdproxy/mdproxy/part.py
+++ b/packages/mdproxy/mdproxy/part.py
@@ -37,13 +37,13 @@
         self.node = node
         boot = node.boot
         self.book = Book(boot.host, boot.fleet_key, node.log)
-        self.walker = Walker(node, self.book, Tries(boot.nodes_expected))
+        self.walker = Walker(node, self.book, Tries(boot.nodes_expected, now()))
         self.delivery = Delivery(node, self.put_in_force)
         self.keys = Keys()
         self.asked_at = self.born = now()
         self.stale_told = False
         self.calls = 0
-        node.view.heard_version = self.delivery.heard
+        node.view.heard = lambda e: self.delivery.heard(e.version, e.role == "mdproxy")
 
     def answers(self):
         return Part.handlers.bound(self) | Delivery.handlers.bound(self.delivery)
@@ -62,7 +62,7 @@
     def not_ready(self):
         age = now() - self.born
         return [
-            *([] if self.delivery.active else ["no manifest yet"]),
+            *([] if self.delivery.active else ["the core hasn't confirmed a manifest here yet"]),
             *(["the endpoints beside were not all heard yet"] if age < BEAT + HEARD else []),
             *(["no load list yet"] if not self.walker.lists.epoch and age < 2 * SECOND else []),
         ]
@@ -372,7 +372,7 @@
         way, code = routes.way(args["caller"], args["method"], args["path"])
         if way is None or way.service != args["service"]:
             raise Shed(code or "way_forbidden")
-        self.delivery.heard(args["version"], peer.address)
+        self.delivery.heard(args["version"], True)
         left = trio.current_effective_deadline()
         call = Call(
             id=args["id"],
--- a/packages/mdproxy/mdproxy/tries.py
+++ b/packages/mdproxy/mdproxy/tries.py
@@ -1,12 +1,15 @@
 """Second tries of one node: a sliding window, and this node's part of the fleet's reserve.
 
->>> tries = Tries(nodes=8)
->>> [tries.permit(0) for _ in range(4)]
+>>> tries = Tries(nodes=8, born=0)
+>>> tries.permit(0)
+False
+>>> at = 10_000_000
+>>> [tries.permit(at) for _ in range(4)]
 [True, True, True, False]
->>> for _ in range(100): tries.request(1)
->>> sum(tries.permit(2) for _ in range(100))
+>>> for _ in range(100): tries.request(at + 1)
+>>> sum(tries.permit(at + 2) for _ in range(100))
 12
->>> tries.permit(10_000_000 + 200_000)
+>>> tries.permit(2 * at + 200_000)
 True
 """
 
@@ -22,9 +25,10 @@
 
 class Tries:
     # Invariants: buckets are in order of time and none is older than WINDOW + GRAIN; requests
-    # and tries are their sums.
-    def __init__(self, nodes):
-        self.reserve = FLEET_RESERVE // nodes or 1
+    # and tries are their sums. A process younger than a window has no reserve: whoever ran here
+    # before may have used it.
+    def __init__(self, nodes, born):
+        self.reserve, self.born = FLEET_RESERVE // nodes or 1, born
         self.buckets = deque()
         self.requests = self.tries = 0
 
@@ -44,7 +48,8 @@
     def permit(self, at):
         """Count a second try, if there is room for it."""
         bucket = self.bucket(at)
-        if self.tries + 1 > max(self.reserve, RATIO * self.requests):
+        reserve = self.reserve if at - self.born >= WINDOW else 0
+        if self.tries + 1 > max(reserve, RATIO * self.requests):
             return False
         bucket[2] += 1
         self.tries += 1
--- a/packages/mdproxy/mdproxy/walk.py
+++ b/packages/mdproxy/mdproxy/walk.py
@@ -202,10 +202,11 @@
             return self.unknown(call, shed.code, self.choose_step, call.spills <= way.spill[1])
         except Breakdown as broken:
             call.tried.add(target.address)
-            call.reached += 1
             self.count("spill.broke")
             if not broken.sent:
+                call.sends -= 1
                 return self.choose_step
+            call.reached += 1
             code = "no_answer" if now() >= due else "lost"
             return self.unknown(call, code, self.choose_step, call.spills <= way.spill[1])
         finally:
@@ -283,16 +284,12 @@
                 if sent:
                     self.count("endpoint.lost")
                     return self.after_unknown(call, "lost")
-                self.book.doubt(endpoint)
-                self.let_go(call)
-                return self.after_not_run(call)
+                return self.not_sent(call, endpoint)
         if guard.cancelled_caught:
             if sent:
                 self.count("endpoint.late")
                 return self.after_unknown(call, "no_answer")
-            self.book.doubt(endpoint)
-            self.let_go(call)
-            return self.after_not_run(call)
+            return self.not_sent(call, endpoint)
         load = told_load(lines)
         if load is not None:
             endpoint.told, endpoint.told_at = load, now()
@@ -304,6 +301,14 @@
         call.outcome = Answer(status, passed_on(lines), body)
         return None
 
+    def not_sent(self, call, endpoint):
+        """Nothing of the call left here, so what comes next is no second sending."""
+        call.sends -= 1
+        call.reached -= 1
+        self.book.doubt(endpoint)
+        self.let_go(call)
+        return self.after_not_run(call)
+
     def after_unknown(self, call, code):
         again = self.endpoint_step
         if call.endpoint is None or not call.endpoint.present:
--- a/packages/mdview/mdview/__init__.py
+++ b/packages/mdview/mdview/__init__.py
@@ -55,7 +55,7 @@
     log: object
     entries: immutables.Map = field(default_factory=immutables.Map)
     gone: immutables.Map = field(default_factory=immutables.Map)
-    heard_version: object = None  # called with (version, address) at each news of one
+    heard: object = None  # called with each entry that is news
     seeded: int = 0
     still: Standstill = field(default_factory=lambda: Standstill(2 * SECOND, 0))
     quiet: dict = field(default_factory=dict)  # partner that didn't answer: (until, span)
@@ -92,8 +92,8 @@
             self.give_up(entry, at, "leaving")
             return
         self.entries = self.entries.set(entry.address, Seen(entry, at))
-        if self.heard_version:
-            self.heard_version(entry.version, entry.address)
+        if self.heard:
+            self.heard(entry)
 
     def give_up(self, entry, at, why):
         self.log(302, peer=entry.address, role=entry.role, why=why)
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -217,6 +217,67 @@
     run(scenario, application=("desk",))
 
 
+def test_a_fresh_start_inside_a_cut_does_not_serve_what_only_a_neighbour_told():
+    """The machine served version 2; its neighbour, cut off before, still has version 1."""
+
+    async def scenario(world):
+        await serving(world)
+        mine, other = hosts(world)
+        for core in world.core:
+            world.web.cut(core, other)
+        assert await world.configure(manifest([way("x", "/balances")])) == 2
+        await world.eventually(lambda: world.part("mdproxy", mine).delivery.version == 2)
+        for core in world.core:
+            world.web.cut(core, mine)
+        world.kill(f"mdproxy@{mine}")
+        # the two proxies alone, as if nobody but they had changed views
+        world.web.cut(mine, other)
+        await world.start("mdproxy", mine)
+        world.web.mend({(mine, other), (other, mine)})
+        part = world.part("mdproxy", mine)
+        view = world.node("mdproxy", other).view
+        part.node.view.merge([view.me], now())
+        await rest(3 * SECOND)
+        assert part.delivery.newest == 1  # staged, and not in force
+        status, _, told = await world.http(mine, "GET", f"{mine}:7400", "/balances/1")
+        assert (status, told["code"]) == (503, "no_manifest")
+        status, _, told = await world.http(mine, "GET", f"{mine}:7400", "/ready")
+        assert "the core hasn't confirmed a manifest here yet" in told["why"]
+        world.web.heal()
+        await world.eventually(lambda: part.delivery.version == 2)
+
+    run(scenario, application=("desk", "desk"))
+
+
+def test_a_version_in_force_at_a_neighbour_is_in_force_at_once_where_it_is_staged():
+    async def scenario(world):
+        await configured(world)
+        mine, other = hosts(world)
+        part = world.part("mdproxy", mine)
+        for core in world.core:
+            world.part("mdconf", core).node.links.call_all = no_switch(
+                world.part("mdconf", core).node.links.call_all, f"{mine}:7401"
+            )
+        at = now()
+        assert await world.configure(manifest([way("x", "/balances")])) == 2
+        there = world.part("mdproxy", other).delivery
+        await world.eventually(lambda: there.version == part.delivery.newest == 2, every=MILLI)
+        assert part.delivery.version == 1
+        world.node("mdproxy", mine).view.merge([world.node("mdproxy", other).view.me], now())
+        await world.eventually(lambda: part.delivery.version == 2, every=MILLI)
+        assert now() - at < 650 * MILLI  # alone it would have waited 700 ms
+
+    run(scenario, application=("desk", "desk"))
+
+
+def no_switch(original, address):
+    async def call_all(asks, due):
+        kept = {k: a for k, a in asks.items() if a[:2] != (address, "manifest.switch")}
+        return await original(kept, due)
+
+    return call_all
+
+
 def test_a_cut_off_proxy_learns_a_newer_version_from_a_neighbour():
     async def scenario(world):
         host = await first_cut_off(world)
@@ -346,7 +407,7 @@
         world.part("mdproxy", host).walker.book.by_address[f"{host}:8000"].capacity = 9
         version = await world.configure(manifest([way("x", "/balances")]))
         async with trio.open_nursery() as nursery:
-            for _ in range(200):
+            for _ in range(700):
                 nursery.start_soon(call)
                 await rest(MILLI)
                 if len(told) == 50:
