Audit trail: each accepted change is one signed, chained record within the head itself

JWS (RFC 7515, Ed25519) over canonical JSON by joserfc and rfc8785; the key comes from the fleet key. The newest record is part of the head, so no change is without one; the head only moves on once a majority holds the record before. Copies are compared and mended by the digests of mend.py, and a member change carries them. `mdctl audit` reads, exports and checks; altered, missing, reordered and foreign records are named.

--- a/packages/mdconf/mdconf/mend.py
+++ b/packages/mdconf/mdconf/mend.py
@@ -14,6 +14,7 @@
 PLAN_LIFE = 600 * SECOND  # so long an unconfirmed plan can be confirmed
 RANGES_KEPT = 32  # versions whose range files are kept, to tell what changed since
 COMPARE_WAIT = SECOND
+AUDIT = "audit/"  # no key of the register begins so
 
 
 class Mender:
@@ -68,9 +69,10 @@
     # ------------------------------------------------------------ copies at other members
 
     def pairs(self, span):
-        """{key: accepted ballot} of one range of keys."""
+        """{key: accepted ballot} of one range of keys, and the audit records of that range."""
         keeper = self.store.keeper
-        return {
+        records = {f"{AUDIT}{v}": None for v in sorted(self.store.audit) if v % RANGES == span}
+        return records | {
             keeper.keys[folder]: list(cell.accepted)
             for folder, cell in sorted(keeper.cells.items())
             if cell is not None and cell.value is not None and int(folder[0], 16) % RANGES == span
@@ -99,6 +101,11 @@
     async def mend_keys(self, theirs):
         for key, (ballot, value) in theirs.items():
             try:
+                if key.startswith(AUDIT):
+                    if int(key[len(AUDIT) :]) not in self.store.audit:
+                        await self.store.put_audit({int(key[len(AUDIT) :]): value})
+                        self.mended("audit", key=key)
+                    continue
                 mine, _ = self.store.keeper.read(key)
                 if tuple(ballot) <= mine:
                     continue
@@ -113,7 +120,12 @@
 
     @handlers.on("mend.keys")
     async def on_keys(self, peer, span):
-        return {key: self.store.keeper.read(key) for key in self.pairs(span)}
+        return {
+            key: (None, self.store.audit[int(key[len(AUDIT) :])])
+            if key.startswith(AUDIT)
+            else self.store.keeper.read(key)
+            for key in self.pairs(span)
+        }
 
     # ------------------------------------------------------------ what nobody needs
 
--- a/packages/mdconf/mdconf/part.py
+++ b/packages/mdconf/mdconf/part.py
@@ -10,6 +10,7 @@
 import trio
 from returns.pipeline import is_successful
 
+import mdaudit
 import mdnode
 from mdconf import mend
 from mdconf.mend import Mender
@@ -63,6 +64,7 @@
         self.node = node
         self.store = Store(node.seams.disk, node.seams.rng, node.log)
         self.mender = Mender(node, self.store, self.others, self.fetch)
+        self.audit_key = mdaudit.signing_key(node.boot.fleet_key)
         self.proposer = None
         self.head = NO_HEAD  # the newest known here
         self.next_reading = None
@@ -270,6 +272,7 @@
         for key in sorted({key for keys in answers.values() for key in keys}):
             await self.proposer.change(key, lambda old: old, due)
         head = await self.proposer.read(HEAD, due) or NO_HEAD
+        await self.spread_audit(await self.trail(head, due), due)
         names = sorted({*head["ranges"], *(p for _, p in head["history"])})
         bodies = await self.fetch(names)
         if not set(head["ranges"]) <= set(bodies):
@@ -442,21 +445,9 @@
         return found
 
     async def spread(self, bodies, due):
-        """Put range files on every member that answers; gives back once a majority holds them
-        all, or raises NoMajority. Slower members are still told, until the due."""
-        names, held, done = list(bodies), set(), trio.Event()
-        waiting = {self.store.disk, *self.others()}
-
-        async def one(disk, work):
-            with until(due):
-                try:
-                    await work
-                    held.add(disk)
-                except (Breakdown, Shed, OSError):
-                    pass
-            waiting.discard(disk)
-            if not waiting or self.proposer.quorum(held):
-                done.set()
+        """Put range files on every member that answers; raises NoMajority unless a majority
+        holds them all."""
+        names = list(bodies)
 
         async def there(address):
             missing = await self.node.links.call(address, "blob.missing", names, due)
@@ -468,13 +459,90 @@
             for body in bodies.values():
                 await self.store.put_blob(body)
 
+        await self.on_majority(here, there, due)
+
+    async def spread_audit(self, records, due):
+        async def there(address):
+            await self.node.links.call(address, "audit.put", records, due)
+
+        await self.on_majority(lambda: self.store.put_audit(records), there, due)
+
+    async def on_majority(self, here, there, due):
+        """Both done at this member and the others; gives back once a majority is through, or
+        raises NoMajority. Slower members are still told, until the due."""
+        held, done = set(), trio.Event()
         works = {self.store.disk: here()} | {d: there(a) for d, a in self.others().items()}
+        waiting = set(works)
+
+        async def one(disk, work):
+            with until(due):
+                try:
+                    await work
+                    held.add(disk)
+                except (Breakdown, Shed, OSError):
+                    pass
+            waiting.discard(disk)
+            if not waiting or self.proposer.quorum(held):
+                done.set()
+
         for disk, work in works.items():
             self.node.nursery.start_soon(one, disk, work)
         with until(due):
             await done.wait()
         if not self.proposer.quorum(held):
-            raise NoMajority("range files")
+            raise NoMajority("files")
+
+    @handlers.on("audit.put")
+    async def on_audit(self, peer, records):
+        try:
+            await self.store.put_audit(records)
+        except OSError as cause:
+            raise Shed("disk", cause=str(cause)) from None
+
+    @handlers.on("audit.get")
+    async def on_audit_get(self, peer, versions):
+        return {v: self.store.audit[v] for v in versions if v in self.store.audit}
+
+    async def trail(self, head, due):
+        """{version: record} up to the head, from here and from the other members."""
+        found = dict(self.store.audit)
+        if head.get("record"):
+            found[head["version"]] = head["record"]
+        for address in self.others().values():
+            missing = [v for v in range(1, head["version"] + 1) if v not in found]
+            if not missing:
+                break
+            try:
+                told = await self.node.links.call(address, "audit.get", missing, due)
+                found.update(told)
+            except (Breakdown, Shed):
+                pass
+        return {v: r for v, r in sorted(found.items()) if v <= head["version"]}
+
+    @table.on("GET", "/audit")
+    async def audit(self, request):
+        return await self.operate(self.make_audit, request)
+
+    async def make_audit(self, request):
+        due = now() + OPERATE
+        head = await self.read_head(due)
+        records = await self.trail(head, due)
+        public = self.audit_key.as_dict(private=False)
+        facts = {"version": head["version"], "key": public, "records": list(records.values())}
+        return Reply(200, facts)
+
+    def audit_record(self, old, facts, plan, version):
+        return mdaudit.sign(
+            self.audit_key,
+            {
+                "version": version,
+                "plan": plan,
+                "base": facts["base"],
+                "ranges": mdaudit.name(" ".join(facts["ranges"])),
+                "at": str(self.node.seams.wall()),
+                "former": mdaudit.name(old["record"]) if old.get("record") else "",
+            },
+        )
 
     async def manifest_of(self, ranges):
         bodies = await self.fetch(sorted(set(ranges)))
@@ -568,7 +636,8 @@
             return Reply(400, {"code": "malformed"})
         if not is_fingerprint(plan):
             return PLAN_UNKNOWN
-        version = applied(await self.read_head(now() + OPERATE), plan)
+        head = await self.read_head(now() + OPERATE)
+        version = applied(head, plan)
         if version:
             return confirmed(plan, version)
         facts = await self.plan_facts(plan)
@@ -590,12 +659,16 @@
                 "ranges": facts["ranges"],
                 "plan": plan,
                 "history": [*head["history"], [version, plan]][-HISTORY:],
+                "record": self.audit_record(head, facts, plan, version),
             }
 
         bodies = await self.fetch([*sorted(set(facts["ranges"])), plan])
         if len(bodies) < len({*facts["ranges"], plan}):
             raise NoMajority("range files")
         await self.spread(bodies, due)
+        if head.get("record"):
+            # what the new head no longer holds; if the head is another by then, the plan is too
+            await self.spread_audit({head["version"]: head["record"]}, due)
         try:
             head = await self.proposer.change(HEAD, make, due)
         except Outdated as outdated:
--- a/packages/mdconf/mdconf/store.py
+++ b/packages/mdconf/mdconf/store.py
@@ -24,6 +24,7 @@
         # {"version": n, "voters": {disk id: address}, "next": the same, or None}; while next is
         # set the members change, and a quorum is a majority of voters and one of next
         self.record = None
+        self.audit = {}  # version -> its audit record; never changed once it is there
 
     async def load(self):
         versions = await self.files.names("members")
@@ -31,6 +32,10 @@
             body = unsealed(await self.files.read(f"members/{max(versions)}"))
             if body is not None:
                 self.record = ormsgpack.unpackb(body)
+        for number in await self.files.names("audit"):
+            body = unsealed(await self.files.read(f"audit/{number}"))
+            if body is not None:  # a rotten one is missing, and fetched
+                self.audit[int(number)] = body.decode()
         kept = unsealed(await self.files.read("disk"))
         await self.keeper.load()
         lost = self.keeper.lost()
@@ -51,6 +56,13 @@
         await self.files.write(name, sealed(ormsgpack.packb(record)))
         self.record = record
 
+    async def put_audit(self, records):
+        """{version: record}"""
+        for version, record in records.items():
+            if version not in self.audit:
+                await self.files.write(f"audit/{version:08d}", sealed(record.encode()))
+                self.audit[version] = record
+
     @property
     def everybody(self):
         """{disk id: address} of all that have a vote."""
--- a/packages/mdctl/mdctl/__main__.py
+++ b/packages/mdctl/mdctl/__main__.py
@@ -13,6 +13,7 @@
 import fire
 from returns.pipeline import is_successful
 
+import mdaudit
 from mdboot import VERSION
 from mdctl.client import Unclear, Unreachable, ask
 from mdmanifest import checked
@@ -65,6 +66,30 @@
             sys.exit(REFUSED)
         _print({"good": True, "ways": len(found.unwrap()["ways"])})
 
+    @fire.decorators.SetParseFn(str)
+    def audit(self, out=None, file=None, key=None):
+        """Check the audit trail: of the core, or of a FILE that --out wrote. --key: a file with
+        the public key (JWK) that you trust; else the one that the trail brings."""
+        facts = _facts(file, ("version", "key", "records")) if file else self._ask("GET", "/audit")
+        trusted = _facts(key, ("kty", "crv", "x")) if key else facts["key"]
+        try:
+            wrong = mdaudit.verify(facts["records"], trusted, facts["version"])
+        except (ValueError, mdaudit.JoseError) as cause:
+            print(f"mdctl: the key can't be used: {cause}", file=sys.stderr)
+            sys.exit(USAGE)
+        if out:
+            with open(out, "w", encoding="utf-8") as kept:
+                json.dump(facts, kept, indent=1)
+        _print(
+            {
+                "version": facts["version"],
+                "records": len(facts["records"]),
+                "key": "given" if key else "told by the trail itself",
+                "wrong": wrong,
+            }
+        )
+        sys.exit(REFUSED if wrong else 0)
+
     def version(self):
         """Print the version."""
         print(f"mdctl {VERSION}")
@@ -112,6 +137,18 @@
         sys.exit(USAGE)
 
 
+def _facts(file, needed):
+    try:
+        facts = json.loads(_read(file))
+    except ValueError as cause:
+        facts = cause
+    missing = [n for n in needed if not isinstance(facts, dict) or n not in facts]
+    if missing:
+        print(f"mdctl: {file} has no {', '.join(missing)}", file=sys.stderr)
+        sys.exit(USAGE)
+    return facts
+
+
 def _print(facts):
     print(json.dumps(facts, indent=2))
 
@@ -129,7 +166,7 @@
 
 
 def usage():
-    commands = ["plan", "confirm", "settle", "get", "status", "member", "check", "version"]
+    commands = ["plan", "confirm", "settle", "get", "status", "member", "audit", "check", "version"]
     lines = [f"  {n:<8} {getattr(Ctl, n).__doc__.strip()}" for n in commands]
     return "\n".join(
         [
--- a/packages/mdproxy/mdproxy/delivery.py
+++ b/packages/mdproxy/mdproxy/delivery.py
@@ -12,7 +12,6 @@
 
 CONFIRM_EVERY = 400 * MILLI
 ASK_WAIT = 400 * MILLI
-PULSE = 50 * MILLI
 FREEZE = 250 * MILLI  # pulses further apart: the process stood still, others may have switched
 SWITCH_ALONE = 700 * MILLI  # after staging, without word to switch
 FIRST_CONFIRM_WAIT = 600 * MILLI
@@ -67,11 +66,6 @@
             self.wake()
         self.pulse_at = now()
 
-    async def pulse(self):
-        while True:
-            self.look_at_pulse()
-            await rest(PULSE)
-
     def wake(self):
         self.news.set()
 
--- a/packages/mdproxy/mdproxy/part.py
+++ b/packages/mdproxy/mdproxy/part.py
@@ -23,7 +23,7 @@
 from mdwire import Handlers, Shed
 
 BEAT_CORE = 500 * MILLI
-PACE = 25 * MILLI
+PULSE = 50 * MILLI
 BEHIND = 100 * MILLI  # this process' own scheduling is so late: a new call is refused at once
 NAME = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
 HEARD = 200 * MILLI
@@ -55,17 +55,18 @@
     def loops(self):
         return {
             "manifest": self.delivery.run,
-            "pulse": self.delivery.pulse,
-            "endpoints": self.walker.close_loop,
+            "pulse": self.pulse_loop,
             "beat": self.beat_loop,
-            "pace": self.pace_loop,
         }
 
-    async def pace_loop(self):
-        """How often in a row this process came late to what it wanted to do: once is a freeze."""
+    async def pulse_loop(self):
+        """Small things that are due again and again; and how often in a row this process came
+        late to them: once is a freeze, more is too much work."""
         while True:
-            wanted = now() + PACE
-            await rest(PACE)
+            self.delivery.look_at_pulse()
+            await self.walker.tidy()
+            wanted = now() + PULSE
+            await rest(PULSE)
             self.late_turns = self.late_turns + 1 if now() - wanted > BEHIND else 0
 
     def behind(self):
--- a/packages/mdproxy/mdproxy/walk.py
+++ b/packages/mdproxy/mdproxy/walk.py
@@ -10,7 +10,7 @@
 from mdload import Choice, Home, LoadList, Wheel, choose
 from mdproxy.call import Answer, passed_on
 from mdproxy.endpoints import BadAnswer, check_answer, told_load
-from mdseam import MILLI, HttpBreakdown, now, rest, until
+from mdseam import MILLI, HttpBreakdown, now, until
 from mdslab import Slab
 from mdverdict import NOT_RUN, TABLE
 from mdwire import Breakdown, Shed
@@ -394,13 +394,12 @@
             if call.guard is not None:
                 call.guard.cancel()
 
-    async def close_loop(self):
-        while True:
-            self.book.expire(now())
-            closing, self.book.closing = self.book.closing, []
-            for connection in closing:
-                await connection.close()
-            await rest(50 * MILLI)
+    async def tidy(self):
+        """Endpoints that no longer beat, connections that nobody uses."""
+        self.book.expire(now())
+        closing, self.book.closing = self.book.closing, []
+        for connection in closing:
+            await connection.close()
 
 
 # what an endpoint says of a call instead of an answer: (status, md-verdict) -> code
--- a/packages/mdsim/mdsim/checkers.py
+++ b/packages/mdsim/mdsim/checkers.py
@@ -282,6 +282,11 @@
     yield from (f"{host} does not" for host in history.unrepaired)
 
 
+@check("the audit trail is whole at the day's end")
+def trail(history):
+    yield from history.trail if history.trail is not None else ["it could not be read"]
+
+
 def good(asked):
     return (asked.verdict, asked.code) == ("ran", "200")
 
--- a/packages/mdsim/mdsim/history.py
+++ b/packages/mdsim/mdsim/history.py
@@ -77,5 +77,6 @@
     unrepaired: list = field(
         default_factory=list
     )  # members whose disk was lost, not back by REPAIR
+    trail: list | None = None  # what is wrong with the audit trail at the end; None: never read
     calm_from: int = 0  # no fault after this
     end: int = 0
--- a/packages/mdsim/mdsim/scenario.py
+++ b/packages/mdsim/mdsim/scenario.py
@@ -9,6 +9,7 @@
 
 import trio
 
+import mdaudit
 from mdhttp import Table
 from mdlib import Endpoint, Record
 from mdseam import MILLI, SECOND, HttpBreakdown, MemoryDisk, now, rest, until
@@ -273,6 +274,11 @@
         except HttpBreakdown:
             return False
 
+    async def check_trail(self, core):
+        status, told = await self.world.operate("GET", "/audit", core=core)
+        if status == 200:
+            self.history.trail = mdaudit.verify(told["records"], told["key"], told["version"])
+
     async def operators(self):
         number = 0
         cores = len(self.world.core)
@@ -499,6 +505,7 @@
         await rest(5 * SECOND)
         for core in range(len(world.core)):
             if await self.read(core):
+                await self.check_trail(core)
                 break
         self.history.end = now()
         return self.history
--- a/packages/mdsim/mdsim/world.py
+++ b/packages/mdsim/mdsim/world.py
@@ -9,7 +9,6 @@
 from functools import partial
 
 import trio
-import trio.testing
 
 from mdboot import checked
 from mdconf.part import Part as Conf
@@ -28,6 +27,26 @@
 WALL = 1_700_000_000 * SECOND
 
 
+class Clock(trio.abc.Clock):
+    """Virtual time. Trio asks how long to sleep only when no task can run: then it is the next
+    deadline at once. (trio's MockClock takes a whole idle round of the scheduler for each.)"""
+
+    def __init__(self):
+        self.at = 0.0
+
+    def start_clock(self):
+        pass
+
+    def current_time(self):
+        return self.at
+
+    def deadline_to_sleep_time(self, deadline):
+        if deadline == float("inf"):
+            return deadline
+        self.at = max(self.at, deadline)
+        return 0
+
+
 async def inline(work, *args):
     await trio.lowlevel.checkpoint()
     return work(*args)
@@ -327,7 +346,7 @@
                         disk.stalled.set()  # nor who waits for a disk
                 nursery.cancel_scope.cancel()
 
-    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return trio.run(main, clock=Clock())
 
 
 __all__ = ["World", "run"]
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -13,7 +13,7 @@
 
 
 def good():
-    history = History(calm_from=10 * S, end=40 * S)
+    history = History(calm_from=10 * S, end=40 * S, trail=[])
 
     def call(uid, kind, caller, sent, **facts):
         body = {"uid": uid, "caller": caller, "whole": True}
@@ -81,6 +81,7 @@
         vars(asked(h, "u4")).update(verdict="may-have-run", code="proxy_lost"),
     ),
     "a broken change has no part and is never acknowledged": lambda h: h.broken.append(("b", 200)),
+    "the audit trail is whole at the day's end": lambda h: h.trail.append("record 1 is missing"),
     "a member whose disk was lost or went bad votes again by itself": lambda h: h.unrepaired.append(
         "c"
     ),
