Real sockets: a second answer behind the first went to the next caller; a closing door dropped calls

Found by raw-socket endpoints and callers that never look at ready, tests seen failing first: - an answer with a second one behind it in the same bytes was passed on, and the second was given to the next caller on that connection: somebody else's answer, unless the service echoes call ids. httpcore keeps the spare bytes and has no public door to them; they are looked at now, and such a connection is closed with its call as lost. - 2 of 800 calls were cut when the door closed: hypercorn ends idle connections at the moment at which it stops listening. Now the listener goes first, and what was accepted may still ask for 0.3 s.

Ruled out: telling callers to close earlier (they were told; they came back by new connections).

--- a/packages/mdnode/mdnode/__init__.py
+++ b/packages/mdnode/mdnode/__init__.py
@@ -15,6 +15,7 @@
 
 LINGER = 1_200 * MILLI  # still serving, for the platform probes ready only once a second
 QUIET = 200 * MILLI
+LAST = 400 * MILLI  # for those who came in just before the door was closed
 STOP_WITHIN = 4_700 * MILLI  # the platform forces after about 6 s; we promise 5 s
 KNOWN = (OSError, ValueError, KeyError, TypeError, LookupError, RuntimeError, ArithmeticError)
 
@@ -71,6 +72,7 @@
         self.stopping = False
         self.stop_due = None
         self.asked, self.hurry, self.http_end = trio.Event(), trio.Event(), trio.Event()
+        self.http_over = trio.Event()
         self.part = self.app = None
 
     def not_ready(self):
@@ -107,14 +109,19 @@
         )
         for name, loop in {"view": self.view.run, **part.loops()}.items():
             nursery.start_soon(self.forever, name, loop)
-        await nursery.start(
-            seams.net.serve_http, self.app, boot.http, self.http_end, STOP_WITHIN - LINGER
-        )
+        await nursery.start(self.serve_http)
         self.log(101, role=boot.role, link=boot.link, http=boot.http, hall=boot.hall)
         task_status.started()
         await self.asked.wait()
         await self.stop()
 
+    async def serve_http(self, task_status):
+        grace = STOP_WITHIN - LINGER
+        await self.seams.net.serve_http(
+            self.app, self.boot.http, self.http_end, grace, task_status=task_status
+        )
+        self.http_over.set()
+
     async def stop(self):
         self.log(102, working=self.app.working)
         self.stopping, self.app.closing = True, True
@@ -141,7 +148,8 @@
                 await self.app.idle()
                 nursery.cancel_scope.cancel()
         self.http_end.set()
-        await rest(50 * MILLI)
+        with until(max(self.stop_due, now()) + LAST):
+            await self.http_over.wait()
         self.log(103, working=self.app.working)
         self.nursery.cancel_scope.cancel()
 
--- a/packages/mdseam/mdseam/net.py
+++ b/packages/mdseam/mdseam/net.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import logging
+from functools import partial
 
 import httpcore
 import trio
 from hypercorn.config import Config
-from hypercorn.trio import serve
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.utils import wrap_app
 
 SILENT = logging.getLogger("meadowdock.http")
 SILENT.addHandler(logging.NullHandler())
 SILENT.propagate = False
+LATECOMERS = 0.3  # s: a connection that was taken before the door closed may still ask
 
 
 class Address(str):
@@ -63,9 +67,21 @@
         config.keep_alive_timeout = 60.0
         config.graceful_timeout = grace_us / 1e6
         config.backlog = 1024
-        await serve(
-            app, config, shutdown_trigger=stopping.wait, mode="asgi", task_status=task_status
-        )
+        # as hypercorn's own serve, but the door is closed first, and who came in by then is served
+        address, context = Address(address), WorkerContext(None)
+        listeners = await trio.open_tcp_listeners(address.port, host=address.host, backlog=1024)
+        server = partial(TCPServer, wrap_app(app, 65536, "asgi"), config, context, {})
+        async with trio.open_nursery() as connections:
+            async with trio.open_nursery() as door:
+                door.start_soon(
+                    partial(trio.serve_listeners, server, listeners, handler_nursery=connections)
+                )
+                task_status.started()
+                await stopping.wait()
+                door.cancel_scope.cancel()
+            await trio.sleep(LATECOMERS)
+            await context.terminated.set()
+            connections.cancel_scope.deadline = trio.current_time() + config.graceful_timeout
 
     def http(self, address, limit=4 << 20):
         return HttpConnection(Address(address), self.host, limit)
@@ -85,6 +101,11 @@
     def stale(self):
         return self.connection.is_closed() or (not self.fresh and self.connection.has_expired())
 
+    def spare(self):
+        """Did more come than the answer? It would be taken for the next one's. httpcore has no
+        public door to it."""
+        return bool(self.connection._connection._h11_state.trailing_data[0])
+
     async def request(self, method, target, headers, body, started=None):
         """The whole answer: (status, headers, body). Raises HttpBreakdown."""
         sent = False
@@ -123,6 +144,8 @@
             finally:
                 with trio.CancelScope(shield=True):
                     await response.aclose()
+            if self.spare():
+                raise HttpBreakdown(True, "bytes behind the answer's end")
             self.fresh = False
             whole = True
             return response.status, response.headers, b"".join(chunks)
