--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -12,7 +12,7 @@
 from mesh import configured
 
 import mdaudit
-from mdseam import SECOND, rest
+from mdseam import SECOND, now, rest
 from mdsim import run
 
 
@@ -140,3 +140,19 @@
     assert (bad.returncode, json.loads(bad.stdout)["wrong"]) == (1, ["record 1 is missing"])
     trusted.write_text('{"kty": "OKP"}')
     assert ctl(f"--file={trailed}", f"--key={trusted}").returncode == 2
+
+
+def test_a_folder_from_before_the_trail_is_read_and_begins_it_with_its_next_change():
+    async def scenario(world):
+        await configured(world)
+        part = world.part("mdconf", world.core[0])
+        await part.proposer.change(  # as the first landing wrote it
+            "manifest/head",
+            lambda head: {k: v for k, v in head.items() if k != "record"},
+            now() + SECOND,
+        )
+        assert await world.configure(changed(1), 1) == 2
+        told = await trail(world, 2)
+        assert [mdaudit.read(r)["version"] for r in told["records"]] == [2]
+
+    run(scenario)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -11,6 +11,8 @@
 from mdlib import Endpoint
 from mdseam import MILLI, SECOND, now, rest
 from mdsim import run
+from mdsim.checkers import second_tries
+from mdsim.history import Asked, History
 from mdverdict import TABLE
 
 
@@ -354,3 +356,39 @@
         assert [got.path for got in journal] == ["/balances/0"]
 
     run(scenario, application=("paper", "desk"))
+
+
+def test_second_tries_stay_bounded_while_proxies_are_killed_and_started_again_and_again():
+    """A start brings no fresh reserve. Counted where messages leave, by the days' own check."""
+
+    async def scenario(world):
+        await configured(world)
+
+        async def garbage(got):
+            return 200, b"garbage"
+
+        for host in hosts(world):
+            await world.endpoint(host, "desk", garbage, wait=False)
+        await rest(SECOND)
+        history = History(sendings=world.web.sendings)
+        restarts = 0
+        for turn in range(100):
+            for host in hosts(world):
+                uid = f"u{len(history.asked)}"
+                history.asked.append(Asked(uid, host, "balances", "guest", now()))
+                world.nursery.start_soon(world.client(host).call, "GET", f"/balances/{uid}")
+            await rest(100 * MILLI)
+            if turn % 8 == 7:
+                host = hosts(world)[restarts % 3]
+                world.kill(f"mdproxy@{host}")
+                world.nursery.start_soon(world.start, "mdproxy", host)
+                restarts += 1
+        await rest(2 * SECOND)
+        assert restarts == 12
+        assert len(history.sendings) > 150
+        assert list(second_tries(history)) == []
+        return history.sendings
+
+    sent = run(scenario, application=("desk", "desk", "desk"))
+    calls = [call for _, kind, call in sent if kind == "endpoint"]
+    assert len(calls) > len(set(calls))  # second tries did happen
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -10,9 +10,9 @@
 import threading
 
 import pytest
-from test_processes import free_net
+from fleets import small_fleet
 
-from mdfleet.fleet import Fleet, get
+from mdfleet.fleet import get
 
 BIG = b'{"pad": "' + b"x" * (5 << 20) + b'"}'
 
@@ -106,24 +106,9 @@
 
 @pytest.fixture(scope="module")
 def fleet(tmp_path_factory):
-    net = free_net()
-    topology = {
-        "name": "sockets",
-        "manifest": "himal.json",
-        "core": {f"{net}.1": "a"},
-        "application": {
-            f"{net}.11": ["a", "member-desk", 4, 2000],
-            f"{net}.12": ["b", "statement", 4, 2000],
-        },
-        "load": [],
-    }
-    made = Fleet(topology, str(tmp_path_factory.mktemp("fleet") / "run"))
-    path = os.path.join(os.path.dirname(__file__), "sockets.json")
-    try:
-        made.whole(path)
+    manifest = os.path.join(os.path.dirname(__file__), "sockets.json")
+    with small_fleet(tmp_path_factory.mktemp("fleet"), manifest) as made:
         yield made
-    finally:
-        made.down()
 
 
 def ask(address, path, method="GET", body=None, headers=()):
