--- a/packages/mdseam/mdseam/net.py
+++ b/packages/mdseam/mdseam/net.py
@@ -70,7 +70,12 @@
         # as hypercorn's own serve, but the door is closed first, and who came in by then is served
         address, context = Address(address), WorkerContext(None)
         listeners = await trio.open_tcp_listeners(address.port, host=address.host, backlog=1024)
-        server = partial(TCPServer, wrap_app(app, 65536, "asgi"), config, context, {})
+        last = [trio.SocketListener(listener.socket.dup()) for listener in listeners]
+        app = wrap_app(app, 65536, "asgi")
+
+        async def server(stream):
+            await TCPServer(app, config, context, {}, stream)
+
         async with trio.open_nursery() as connections:
             async with trio.open_nursery() as door:
                 door.start_soon(
@@ -79,10 +84,21 @@
                 task_status.started()
                 await stopping.wait()
                 door.cancel_scope.cancel()
+            for listener in last:
+                await self.close_door(listener, server, connections)
             await trio.sleep(LATECOMERS)
             await context.terminated.set()
             connections.cancel_scope.deadline = trio.current_time() + config.graceful_timeout
 
+    async def close_door(self, listener, server, connections):
+        """Take what the kernel has accepted already; then nobody is cut off by the closing."""
+        async with listener:
+            for _ in range(1024):
+                with trio.move_on_after(0.001) as nobody:
+                    connections.start_soon(server, await listener.accept())
+                if nobody.cancelled_caught:
+                    return
+
     def http(self, address, limit=4 << 20):
         return HttpConnection(Address(address), self.host, limit)
 
--- a/packages/mdsim/mdsim/scenario.py
+++ b/packages/mdsim/mdsim/scenario.py
@@ -23,6 +23,8 @@
 BUSY, QUIET = 60 * MILLI, 150 * MILLI  # mean gap between calls at one machine
 KNOBS = {"took_us": 15 * MILLI, "garbage": 0.0}  # of a healthy endpoint
 LOOK = 25 * MILLI
+# never what was asked for; beside these an answer may be another call's, header and all
+GARBAGE = [b'{"uid": ', b"", b'{"uid": "x"} {}', b"\xff\xfe", b"NaN"]
 REPAIR = 12 * SECOND  # a blank disk is a member again by then
 
 
@@ -78,15 +80,19 @@
 class Odd(Endpoint):
     """An endpoint that may answer with what belongs to another call, header and all."""
 
+    # Invariant: what is spoiled is spoiled on its way out; the endpoint's record holds its true answer
     table = Table()
     table.exact = Endpoint.table.exact
-    swap = last = None  # the (headers, body) to be given once instead, and of the last answer
+    last = spoilt = None  # (headers, body) of the last answer; what the next answer is instead
 
     @table.otherwise
     async def called(self, request):
         reply = await super().called(request)
-        if self.swap is not None:
-            (reply.headers, reply.body), self.swap = self.swap, None
+        spoilt, self.spoilt = self.spoilt, None
+        if isinstance(spoilt, tuple):
+            reply.headers, reply.body = spoilt
+        elif spoilt is not None:
+            reply.body = spoilt
         self.last = reply.headers, reply.body
         return reply
 
@@ -125,7 +131,7 @@
             )
             await rest(int(knobs["took_us"] * self.rng.uniform(0.5, 1.5)))
             if self.rng.random() < knobs["garbage"]:
-                return self.garbage(made, uid)
+                made.spoilt = self.rng.choice([*GARBAGE, made.last or GARBAGE[0]])
             return 200, {"uid": uid, "caller": got.caller, "whole": True}
 
         record = Record(self.records.setdefault((host, service), MemoryDisk()))
@@ -135,16 +141,6 @@
         self.endpoints[host] = made
         return made
 
-    def garbage(self, endpoint, uid):
-        """Never what was asked for: no JSON, nothing, two of them, or another call's answer."""
-        odd = [b'{"uid": ', b"", b'{"uid": "x"} {}', b"\xff\xfe", b"NaN", endpoint.last]
-        chosen = self.rng.choice(odd)
-        if isinstance(chosen, tuple):
-            endpoint.swap, chosen = chosen, b"{}"
-        elif chosen is None:
-            chosen = b"{"
-        return 200, chosen
-
     # ------------------------------------------------------------ callers
 
     async def call(self, host, kind, caller, token=None):
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -109,6 +109,24 @@
     run(scenario)
 
 
+def test_a_change_whose_range_files_reach_no_majority_does_not_begin():
+    async def scenario(world):
+        await configured(world)
+        _, planned = await world.operate("POST", "/plan", manifest([way("x", "/balances")]))
+        for core in world.core[1:]:
+            disk = world.disks["mdconf", core]
+            for name in [n for n in disk.files if n.startswith("blob/")]:
+                del disk.files[name]
+        world.meddle["blob.put"] = None  # lost on their way, all of them
+        status, told = await world.operate("POST", "/confirm", {"plan": planned["plan"]})
+        assert (status, told["code"]) == (503, "no_majority")
+        world.meddle.clear()
+        assert (await world.operate("GET", "/manifest"))[1]["version"] == 1
+        assert (await world.operate("GET", f"/plan/{planned['plan']}"))[1]["state"] == "open"
+
+    run(scenario)
+
+
 def test_racing_operators_one_wins_the_other_hears_what_changed():
     async def scenario(world):
         await configured(world)
