Our words: shed for refuse, way for route, in types, fields, functions and event names

Counts of what a proxy shed are shed.CODE, what its neighbours shed spill.shed.CODE; events 201 and 703 are link_shed and list_shed. Outcomes of operators' acts keep the field's word.

--- a/packages/mdlib/mdlib/client.py
+++ b/packages/mdlib/mdlib/client.py
@@ -26,7 +26,7 @@
 
 
 @dataclass(frozen=True)
-class Refused:
+class Shed:
     code: str
     verdict: Verdict
     detail: str = ""
@@ -55,7 +55,7 @@
 
     async def call(
         self, method, path, body=None, due_us=None, key=None, repeat=False
-    ) -> Result[Answer, Refused]:
+    ) -> Result[Answer, Shed]:
         """One call, sent once. Failure tells by its verdict whether it may have run. repeat: this
         key may have been sent before, by whomever; this client's own repeats it knows itself."""
         repeat = repeat or key in self.sent
@@ -92,7 +92,7 @@
                 return read(status, headers, answer)
             except HttpBreakdown as broken:
                 cause = broken
-        return Failure(Refused("proxy_lost", MAY_HAVE_RUN if sent else NOT_RUN, str(cause)))
+        return Failure(Shed("proxy_lost", MAY_HAVE_RUN if sent else NOT_RUN, str(cause)))
 
     async def close(self):
         idle, self.idle = self.idle, []
@@ -110,9 +110,9 @@
         facts = json.loads(body) if body else None
         verdict = Verdict(lines[b"md-verdict"].decode())
     except (ValueError, KeyError) as cause:
-        return Failure(Refused("proxy_garbage", MAY_HAVE_RUN, repr(cause)))
+        return Failure(Shed("proxy_garbage", MAY_HAVE_RUN, repr(cause)))
     if verdict is RAN:
         return Success(Answer(status, facts, lines.get(b"md-call", b"").decode()))
     return Failure(
-        Refused(facts["code"], verdict, facts.get("detail", ""), facts.get("retry_after_us", 0))
+        Shed(facts["code"], verdict, facts.get("detail", ""), facts.get("retry_after_us", 0))
     )
--- a/packages/mdlog/mdlog/__init__.py
+++ b/packages/mdlog/mdlog/__init__.py
@@ -18,7 +18,7 @@
     103: ("stopped", "all calls in flight are done, or the time for them is over"),
     104: ("hurried", "a second signal: stop at once"),
     105: ("task_broke", "a loop met an unexpected breakdown and was started again"),
-    201: ("link_refused", "a peer failed the fleet key's proof, or spoke nonsense"),
+    201: ("link_shed", "a peer failed the fleet key's proof, or spoke nonsense"),
     202: ("link_lost", "an open link broke"),
     301: ("peer_seen", "a process joined, or came back with a new incarnation"),
     302: ("peer_gone", "a process was not heard of for the window, or left"),
@@ -43,7 +43,7 @@
     607: ("members_changed", "the register's voters are others now"),
     701: ("duty_taken", "this process holds a duty under a new epoch"),
     702: ("duty_lost", "a higher epoch was seen; the duty is dropped"),
-    703: ("list_refused", "a load list of an older epoch was refused"),
+    703: ("list_shed", "a load list of an older epoch was refused"),
     704: ("list_stale", "no load list for the stale window"),
     801: ("call_broke", "a call met an unexpected breakdown inside this process"),
 }
--- a/packages/mdmanifest/mdmanifest/__init__.py
+++ b/packages/mdmanifest/mdmanifest/__init__.py
@@ -2,14 +2,14 @@
 
 from mdmanifest.check import SIZE_MAX, TOTAL_WAIT_MAX, Bad, checked, parse, with_defaults
 from mdmanifest.ranges import assemble, cut, difference, seal_range
-from mdmanifest.ways import GUEST, Routes, Way
+from mdmanifest.ways import GUEST, Way, Ways
 
 __all__ = [
     "GUEST",
     "SIZE_MAX",
     "TOTAL_WAIT_MAX",
     "Bad",
-    "Routes",
+    "Ways",
     "Way",
     "assemble",
     "checked",
--- a/packages/mdmanifest/mdmanifest/ways.py
+++ b/packages/mdmanifest/mdmanifest/ways.py
@@ -25,7 +25,7 @@
         return self.arrival[0] + self.spill[0] + self.endpoint[0]
 
 
-class Routes:
+class Ways:
     """A manifest in force. Invariant: never changed once made; a new version is a new object."""
 
     def __init__(self, version, facts):
@@ -47,7 +47,7 @@
         self.table, self.paths = table, paths
 
     def way(self, caller, method, path):
-        """(the way, None), or (None, the refusal's code)."""
+        """(the way, None), or (None, the shedding's code)."""
         if not CLEAN.match(path):
             return None, "malformed"
         # the longest path that any way has decides; a caller without it falls to no shorter one
--- a/packages/mdproxy/mdproxy/call.py
+++ b/packages/mdproxy/mdproxy/call.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from mdverdict import NOT_RUN, RAN, Refusal, refusal
+from mdverdict import NOT_RUN, RAN, Shedding, shedding
 
 HOP = {
     b"connection",
@@ -78,7 +78,7 @@
     incarnation: str | None = None  # what the neighbour's list told, for spilled calls
     started: bool = False
     hung_up: bool = False
-    outcome: Answer | Refusal | None = None
+    outcome: Answer | Shedding | None = None
     may_have_run: bool = False  # some try's fate is unknown
     tried: set = field(default_factory=set)  # neighbours that refused, or broke
     sends: int = 0  # to neighbours and endpoints
@@ -95,9 +95,9 @@
     def target_path(self):
         return self.path + ("?" + self.query if self.query else "")
 
-    def refuse(self, code, detail="", **changes):
-        """The final word. Once a try may have run, no refusal may claim not-run."""
-        made = refusal(code, detail, **changes)
+    def shed(self, code, detail="", **changes):
+        """The final word. Once a try may have run, no shedding may claim not-run."""
+        made = shedding(code, detail, **changes)
         if self.may_have_run and made.verdict is NOT_RUN:
-            made = refusal("lost", f"an earlier try may have run; then {code}")
+            made = shedding("lost", f"an earlier try may have run; then {code}")
         self.outcome = made
--- a/packages/mdproxy/mdproxy/delivery.py
+++ b/packages/mdproxy/mdproxy/delivery.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from mdmanifest import Routes, assemble
+from mdmanifest import Ways, assemble
 from mdseam import MILLI, SECOND, fingerprint, now, rest, until
 from mdwire import Breakdown, Handlers, Shed
 
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True)
 class Staged:
-    routes: Routes
+    ways: Ways
     head: dict
     since: int  # when a version newer than the one in force was first staged
 
@@ -46,11 +46,11 @@
 
     @property
     def version(self):
-        return self.active.routes.version if self.active else 0
+        return self.active.ways.version if self.active else 0
 
     @property
     def newest(self):
-        return self.staged.routes.version if self.staged else self.version
+        return self.staged.ways.version if self.staged else self.version
 
     # ------------------------------------------------------------ for calls
 
@@ -103,7 +103,7 @@
         # a fresh start serves only what the core confirmed: this machine may have served a newer
         # one than its neighbours have
         if self.staged is not None and (reached and whole if self.active is None else self.late):
-            self.switch(self.staged.routes.version)
+            self.switch(self.staged.ways.version)
         self.late = False
         # cut off until the core's version is in force here, or staged in its ordinary turn
         away = not (reached and whole)
@@ -168,14 +168,14 @@
                 return False
             self.bodies.update(bodies)
             held = [self.bodies[f] for f in wanted]
-            routes = await self.node.seams.apart(lambda: Routes(head["version"], assemble(held)))
-            if self.staged is None or routes.version > self.staged.routes.version:
+            ways = await self.node.seams.apart(lambda: Ways(head["version"], assemble(held)))
+            if self.staged is None or ways.version > self.staged.ways.version:
                 fresh = self.staged is None
                 since = now() if fresh else self.staged.since
-                self.staged = Staged(routes, head, since)
-                self.node.log(501, version=routes.version, fetched=len(missing))
-                if self.active is not None and (self.late or routes.version <= self.told):
-                    self.switch(routes.version)
+                self.staged = Staged(ways, head, since)
+                self.node.log(501, version=ways.version, fetched=len(missing))
+                if self.active is not None and (self.late or ways.version <= self.told):
+                    self.switch(ways.version)
                 elif fresh and self.active is not None:
                     self.node.nursery.start_soon(self.switch_alone, since)
             return True
@@ -203,7 +203,7 @@
         quickly don't put it off."""
         await rest(SWITCH_ALONE)
         if self.staged is not None and self.staged.since == since:
-            self.switch(self.staged.routes.version)
+            self.switch(self.staged.ways.version)
 
     def switch_told(self, version):
         """It is in force elsewhere; here too, now or as soon as it is staged. Not at a fresh start:
@@ -214,17 +214,13 @@
 
     def switch(self, version):
         staged = self.staged
-        if (
-            staged is None
-            or staged.routes.version > version
-            or staged.routes.version <= self.version
-        ):
+        if staged is None or staged.ways.version > version or staged.ways.version <= self.version:
             return
         self.active, self.staged = staged, None
         self.bodies = {f: self.bodies[f] for f in staged.head["ranges"]}
-        self.put_in_force(staged.routes)
-        self.node.view.bump(version=staged.routes.version)
-        self.node.log(502, version=staged.routes.version)
+        self.put_in_force(staged.ways)
+        self.node.view.bump(version=staged.ways.version)
+        self.node.log(502, version=staged.ways.version)
 
     # ------------------------------------------------------------ answers
 
--- a/packages/mdproxy/mdproxy/part.py
+++ b/packages/mdproxy/mdproxy/part.py
@@ -19,7 +19,7 @@
 from mdproxy.tries import Tries
 from mdproxy.walk import Walker
 from mdseam import MILLI, SECOND, fingerprint, now, rest
-from mdverdict import MAY_HAVE_RUN, NOT_RUN, Refusal, refusal
+from mdverdict import MAY_HAVE_RUN, NOT_RUN, Shedding, shedding
 from mdwire import Handlers, Shed
 
 BEAT_CORE = 500 * MILLI
@@ -31,7 +31,7 @@
 
 
 class Part(mdnode.Part):
-    """Invariants: lists only go up in (epoch, seq); walker.routes is delivery's active version."""
+    """Invariants: lists only go up in (epoch, seq); walker.ways is delivery's active version."""
 
     table = Table()
     handlers = Handlers()
@@ -72,8 +72,8 @@
     def behind(self):
         return self.late_turns > 1
 
-    def put_in_force(self, routes):
-        self.walker.routes = routes
+    def put_in_force(self, ways):
+        self.walker.ways = ways
 
     def not_ready(self):
         age = now() - self.born
@@ -89,7 +89,7 @@
         """Beats to every mdreg; and, without a collector, the end of each interval."""
         while True:
             await self.tell_core()
-            load = self.walker.routes.load if self.walker.routes else None
+            load = self.walker.ways.load if self.walker.ways else None
             if load and now() - self.asked_at > 2 * load["interval_us"]:
                 self.measure()
             stale = load and self.walker.lists.stale(now(), load["stale_us"])
@@ -110,7 +110,7 @@
             "newest": self.delivery.newest,
             "cut_off": self.delivery.cut_off,
             "leaving": self.node.stopping,
-            "interval_us": self.walker.routes.load["interval_us"] if self.walker.routes else None,
+            "interval_us": self.walker.ways.load["interval_us"] if self.walker.ways else None,
             "endpoints": [
                 {
                     "service": e.service,
@@ -130,11 +130,11 @@
     def measure(self):
         at = now()
         self.asked_at = at
-        return self.book.measure(at, self.walker.routes.load["share"])
+        return self.book.measure(at, self.walker.ways.load["share"])
 
     @handlers.on("load.ask")
     async def on_ask(self, peer, _):
-        if self.walker.routes is None or self.node.stopping:
+        if self.walker.ways is None or self.node.stopping:
             return {}
         return self.measure()
 
@@ -187,9 +187,9 @@
     async def enrol(self, request):
         try:
             facts = await self.facts(request, ENROL)
-            if self.walker.routes is None:
+            if self.walker.ways is None:
                 raise Denied(503, "no_manifest")
-            if facts["service"] not in self.walker.routes.services:
+            if facts["service"] not in self.walker.ways.services:
                 raise Denied(404, "service_unknown", facts["service"])
             if facts["address"].rpartition(":")[0] not in self.node.boot.local:
                 raise Denied(403, "not_local", "the endpoint's address is of another machine")
@@ -210,7 +210,7 @@
         try:
             facts = await self.facts(request, BEAT_FACTS)
             read = self.book.read_token(facts["token"])
-            if read and self.walker.routes and read[0] not in self.walker.routes.services:
+            if read and self.walker.ways and read[0] not in self.walker.ways.services:
                 raise Denied(404, "service_unknown", read[0])
             self.book.beat(
                 facts["token"],
@@ -264,26 +264,26 @@
         try:
             made = await self.admitted(request)
         except TooLarge:
-            made = refusal("too_large")
+            made = shedding("too_large")
         call = made if isinstance(made, Call) else None
         if call:
             self.walker.count("calls")
             self.walker.tries.request(now())
             made = await self.watched(call, request)
-        if request.header(b"md-repeat") and isinstance(made, Refusal) and made.verdict is NOT_RUN:
+        if request.header(b"md-repeat") and isinstance(made, Shedding) and made.verdict is NOT_RUN:
             # what is refused here may have run where it was sent before
             made = replace(made, verdict=MAY_HAVE_RUN)
         return self.reply(made, call)
 
     async def admitted(self, request):
-        """A Call, or the Refusal or earlier Answer that ends the request here."""
-        routes = self.walker.routes
-        if routes is None:
-            return refusal("no_manifest")
+        """A Call, or the Shedding or earlier Answer that ends the request here."""
+        ways = self.walker.ways
+        if ways is None:
+            return shedding("no_manifest")
         if self.behind():
-            return refusal("busy", "this proxy is behind with its own work")
+            return shedding("busy", "this proxy is behind with its own work")
         await self.delivery.current()
-        routes = self.walker.routes
+        ways = self.walker.ways
         caller, token = GUEST, request.header(b"md-token")
         if token is not None:
             young = now() - self.born < WINDOW
@@ -291,28 +291,28 @@
                 self.book.caller(token, young) if request.peer in self.node.boot.local else None
             )
             if caller is None:
-                return refusal("bad_token")
-        way, code = routes.way(caller, request.method, request.path)
+                return shedding("bad_token")
+        way, code = ways.way(caller, request.method, request.path)
         if way is None:
-            return refusal(code)
-        body = await request.body(routes.services[way.service]["body_max"])
+            return shedding(code)
+        body = await request.body(ways.services[way.service]["body_max"])
         key, due_us = request.header(b"md-key"), request.header(b"md-due")
         if key is not None and not NAME.match(key):
-            return refusal("malformed", "md-key must be 1 to 128 of A-Z a-z 0-9 . _ : -")
+            return shedding("malformed", "md-key must be 1 to 128 of A-Z a-z 0-9 . _ : -")
         if due_us is not None and not (due_us.isdigit() and len(due_us) < 16):
-            return refusal("malformed", "md-due must be whole microseconds")
+            return shedding("malformed", "md-due must be whole microseconds")
         repeat = request.header(b"md-repeat")
         if repeat not in (None, "1") or (repeat and key is None):
-            return refusal("malformed", "md-repeat must be 1, with an md-key")
+            return shedding("malformed", "md-repeat must be 1, with an md-key")
         if body and not is_json(body):
-            return refusal("malformed", "body is no JSON")
+            return shedding("malformed", "body is no JSON")
         if not request.query.isascii():
-            return refusal("malformed", "query")
+            return shedding("malformed", "query")
         total = min(way.total_us, int(due_us)) if due_us is not None else way.total_us
         if self.node.stop_due is not None:
             total = min(total, self.node.stop_due - now() - 100 * MILLI)
             if total <= 0:
-                return refusal("stopping")
+                return shedding("stopping")
         self.calls += 1
         return Call(
             id=f"{self.node.incarnation:x}-{self.node.boot.host}-{self.calls}",
@@ -323,7 +323,7 @@
             headers=passed_on(request.headers),
             body=body,
             way=way,
-            version=routes.version,
+            version=ways.version,
             due=now() + total,
             key=key,
             repeat=repeat is not None,
@@ -339,7 +339,7 @@
             )
             known = self.keys.begin(call.caller, call.key, print_of, now())
             if isinstance(known, str):
-                return refusal(known)
+                return shedding(known)
             if known is not None:
                 return known
         try:
@@ -381,7 +381,7 @@
         if isinstance(outcome, Answer):
             self.walker.count(f"answer.{outcome.status // 100}xx")
             return Reply(outcome.status, outcome.body, [*outcome.headers, *lines])
-        self.walker.count(f"refused.{outcome.code}")
+        self.walker.count(f"shed.{outcome.code}")
         if outcome.retry_after_us:
             seconds = -(-outcome.retry_after_us // SECOND)
             lines.append((b"retry-after", str(seconds).encode()))
@@ -392,12 +392,12 @@
     @handlers.on("call.run")
     async def on_run(self, peer, args):
         """A neighbour's call. Way, service, incarnation, drain, room and due are checked here."""
-        routes = self.walker.routes
-        if routes is None:
+        ways = self.walker.ways
+        if ways is None:
             raise Shed("no_manifest")
         if self.node.stopping:
             raise Shed("stopping")
-        way, code = routes.way(args["caller"], args["method"], args["path"])
+        way, code = ways.way(args["caller"], args["method"], args["path"])
         if way is None or way.service != args["service"]:
             raise Shed(code or "way_forbidden")
         self.delivery.heard(args["version"], True)
@@ -411,7 +411,7 @@
             headers=[(bytes(n), bytes(v)) for n, v in args["headers"]],
             body=bytes(args["body"]),
             way=way,
-            version=routes.version,
+            version=ways.version,
             due=int(left * SECOND) - MARGIN if left < float("inf") else now() + way.total_us,
             key=args["key"],
             home=False,
@@ -419,7 +419,7 @@
         )
         self.walker.count("taken")
         outcome = await self.walker.walk(call)
-        if isinstance(outcome, Refusal):
+        if isinstance(outcome, Shedding):
             raise Shed(outcome.code)
         return {
             "status": outcome.status,
--- a/packages/mdproxy/mdproxy/walk.py
+++ b/packages/mdproxy/mdproxy/walk.py
@@ -59,7 +59,7 @@
         self.wheels = {}
         self.holdings = {}
         self.counts = {}
-        self.routes = None
+        self.ways = None
 
     def count(self, name):
         self.counts[name] = self.counts.get(name, 0) + 1
@@ -85,7 +85,7 @@
         try:
             while (call := self.slab.get(handle)).step is not None:
                 if now() >= call.due and call.outcome is None:
-                    call.refuse("due_passed")
+                    call.shed("due_passed")
                     break
                 call.step = await call.step(call)
             return call.outcome
@@ -114,7 +114,7 @@
 
     def decide(self, call):
         service, at = call.way.service, now()
-        load, me = self.routes.load, self.node.boot.link
+        load, me = self.ways.load, self.node.boot.link
         home = self.book.home(service)
         occupation = self.book.occupations.get(service)
         facts = Home(
@@ -145,9 +145,9 @@
     async def look_up_step(self, call):
         """A key that may have run somewhere: only the record of the endpoint here can tell more."""
         home = self.book.home(call.way.service)
-        if home is None or not self.routes.services[call.way.service].get("record"):
-            return call.refuse("key_may_have_run")
-        return self.take(call, home) if home.room else call.refuse("busy")
+        if home is None or not self.ways.services[call.way.service].get("record"):
+            return call.shed("key_may_have_run")
+        return self.take(call, home) if home.room else call.shed("busy")
 
     async def choose_step(self, call):
         choice: Choice = self.decide(call)
@@ -163,13 +163,13 @@
         """No room anywhere: wait a little for a slot at home, if that is likely to help."""
         home = self.book.home(call.way.service)
         if home is None:
-            return call.refuse("home_gone")
+            return call.shed("home_gone")
         if home.room:
             return self.take(call, home)
         holding = self.holding(call.way.service)
         wait_us = call.way.arrival[0]
         if call.spills or not holding.worth_it(home.capacity, wait_us):
-            return call.refuse("busy")
+            return call.shed("busy")
         told = trio.Event()
         entry = (call, told)
         holding.line.append(entry)
@@ -184,7 +184,7 @@
         call.waits += 1
         if told.is_set() and call.waits <= call.way.arrival[1]:
             return self.choose_step  # home is gone meanwhile
-        return call.refuse("busy")
+        return call.shed("busy")
 
     # ------------------------------------------------------------ spill
 
@@ -217,7 +217,7 @@
             call.tried.add(target.address)
             if shed.code == "busy":
                 self.left_out.add((way.service, target.address))
-            self.count(f"shed.{shed.code}")
+            self.count(f"spill.shed.{shed.code}")
             if surely_not_run(shed.code):
                 return self.choose_step
             return self.unknown(call, shed.code, self.choose_step, call.spills <= way.spill[1])
@@ -243,20 +243,20 @@
         over = call.hung_up or self.node.hurry.is_set() or now() >= call.due
         if call.way.safe and tries_left and not over:
             return again
-        return call.refuse(code)
+        return call.shed(code)
 
     async def enter_spilled(self, call):
         """At the neighbour: everything is checked here again, and refused as not run."""
         home = self.book.home(call.way.service)
         if home is None:
-            return call.refuse("home_gone")
+            return call.shed("home_gone")
         if home.incarnation != call.incarnation:
             known = [e for e in self.book.of(call.way.service) if e.incarnation == call.incarnation]
             if not known:
-                return call.refuse("home_gone", "another incarnation")
+                return call.shed("home_gone", "another incarnation")
             home = known[0]
         if not home.room:
-            return call.refuse("busy")
+            return call.shed("busy")
         return self.take(call, home)
 
     # ------------------------------------------------------------ endpoint
@@ -268,13 +268,13 @@
             return self.after_not_run(call)
         # a call that a neighbour shed has been nowhere yet: home keeps it, as the paper's would
         if call.reached and not self.tries.permit(now()):
-            return call.refuse("busy", "no second tries left")
+            return call.shed("busy", "no second tries left")
         call.sends += 1
         call.reached += 1
         call.endpoint_tries += 1
         begun = now()
         due = min(call.due, begun + way.endpoint[0])
-        service = self.routes.services.get(way.service) or {"echo": False, "identity": False}
+        service = self.ways.services.get(way.service) or {"echo": False, "identity": False}
         sent = False
 
         def started():
@@ -319,7 +319,7 @@
         if word is not None:
             self.let_go(call)
             self.count(f"endpoint.{word}")
-            return self.after_not_run(call, "busy") if word == "busy" else call.refuse(word)
+            return self.after_not_run(call, "busy") if word == "busy" else call.shed(word)
         call.outcome = Answer(status, passed_on(lines), body)
         return None
 
@@ -344,7 +344,7 @@
         tries_left = call.endpoint_tries <= call.way.endpoint[1] and now() < call.due
         if call.home and tries_left and code != "busy" and not call.repeat:
             return self.choose_step
-        return call.refuse(code)
+        return call.shed(code)
 
     def endpoint_lines(self, call, endpoint, due):
         return [
@@ -411,7 +411,7 @@
 
 
 def surely_not_run(code):
-    """What a neighbour's refusal says. An unknown word claims nothing."""
+    """What a neighbour's shedding says. An unknown word claims nothing."""
     return code == "no_such_method" or (code in TABLE and TABLE[code][1] is NOT_RUN)
 
 
--- a/packages/mdreg/mdreg/part.py
+++ b/packages/mdreg/mdreg/part.py
@@ -31,7 +31,7 @@
         self.seq = 0
         self.mine_since = None
         self.interval = 0, INTERVAL  # of the newest manifest that a proxy has in force
-        self.last = {"asked": 0, "answered": 0, "at": 0, "refused": 0}
+        self.last = {"asked": 0, "answered": 0, "at": 0, "shed": 0}
         self.cadence = now()
 
     def answers(self):
@@ -172,15 +172,15 @@
         sent = await self.node.links.call_all(
             {a: (a, "load.list", combined) for a in nodes}, now() + interval * 3 // 10
         )
-        refusals = [s for s in sent.values() if isinstance(s, Shed) and s.code == "old_epoch"]
+        sheddings = [s for s in sent.values() if isinstance(s, Shed) and s.code == "old_epoch"]
         self.last = {
             "asked": len(nodes),
             "answered": len(answered),
             "at": self.node.seams.wall(),
-            "refused": len(refusals),
+            "shed": len(sheddings),
         }
-        if refusals:
-            self.learn_epoch(max(s.facts["epoch"] for s in refusals))
+        if sheddings:
+            self.learn_epoch(max(s.facts["epoch"] for s in sheddings))
 
     # ------------------------------------------------------------ stop
 
--- a/packages/mdsim/mdsim/overload.py
+++ b/packages/mdsim/mdsim/overload.py
@@ -102,7 +102,7 @@
         n
         for h in world.application
         for name, n in world.part("mdproxy", h).walker.counts.items()
-        if name.startswith("shed.")
+        if name.startswith("spill.shed.")
     )
     found["p99_us"] = sorted(took)[len(took) * 99 // 100] if took else 0
     return found
--- a/packages/mdverdict/mdverdict/__init__.py
+++ b/packages/mdverdict/mdverdict/__init__.py
@@ -1,6 +1,6 @@
 """What is known of a request: did it run?
 
->>> refusal("busy").status, refusal("busy").verdict.value, refusal("busy").retry_after_us
+>>> shedding("busy").status, shedding("busy").verdict.value, shedding("busy").retry_after_us
 (503, 'not-run', 1000000)
 """
 
@@ -20,8 +20,8 @@
 
 
 @dataclass(frozen=True)
-class Refusal:
-    # Invariant: a NOT_RUN refusal is only made while no byte has reached an endpoint.
+class Shedding:
+    # Invariant: a NOT_RUN shedding is only made while no byte has reached an endpoint.
     code: str
     status: int
     verdict: Verdict
@@ -61,7 +61,7 @@
 }
 
 
-def refusal(code, detail="", **changes):
+def shedding(code, detail="", **changes):
     status, verdict, retry_after_us, meaning = TABLE[code]
-    made = Refusal(code, status, verdict, detail or meaning, retry_after_us)
+    made = Shedding(code, status, verdict, detail or meaning, retry_after_us)
     return replace(made, **changes) if changes else made
--- a/tests/test_freeze.py
+++ b/tests/test_freeze.py
@@ -37,7 +37,7 @@
     run(scenario, application=("desk", "desk"))
 
 
-def test_a_frozen_collector_is_replaced_and_its_list_refused_when_it_wakes():
+def test_a_frozen_collector_is_replaced_and_its_list_shed_when_it_wakes():
     async def scenario(world):
         await serving(world)
         holder = next(h for h in world.core if world.part("mdreg", h).epoch is not None)
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -10,7 +10,7 @@
 from mesh import configured, hosts, serving
 from returns.pipeline import is_successful
 
-from mdmanifest import SIZE_MAX, Routes, checked, cut
+from mdmanifest import SIZE_MAX, Ways, checked, cut
 from mdseam import MILLI, SECOND, now, rest
 from mdsim import run
 
@@ -69,7 +69,7 @@
     after = cut(checked(json.dumps(manifest(ways)).encode()).unwrap())
     assert len(before) > 200
     assert len({f for f, _ in after} - {f for f, _ in before}) == 1
-    assert Routes(1, facts).way("guest", "GET", "/p7/q777/deeper")[0].name == "w777"
+    assert Ways(1, facts).way("guest", "GET", "/p7/q777/deeper")[0].name == "w777"
 
 
 LOOKUPS = [
@@ -92,8 +92,8 @@
 
 @pytest.mark.parametrize(("caller", "method", "path", "name", "code"), LOOKUPS)
 def test_lookups(caller, method, path, name, code):
-    routes = Routes(1, checked(json.dumps(manifest()).encode()).unwrap())
-    way_found, refused = routes.way(caller, method, path)
+    ways = Ways(1, checked(json.dumps(manifest()).encode()).unwrap())
+    way_found, refused = ways.way(caller, method, path)
     assert (way_found and way_found.name, refused) == (name, code)
 
 
--- a/tests/test_ways.py
+++ b/tests/test_ways.py
@@ -39,7 +39,7 @@
         client = world.client(host)
         found = (await client.call("POST", "/withdrawals", {"a": 1})).failure()
         assert found.verdict.value == "not-run"
-        assert counts(world, host)["shed.way_unknown"] == 1
+        assert counts(world, host)["spill.shed.way_unknown"] == 1
         assert journal == []
 
     run(scenario, application=("paper", "desk"))
@@ -53,7 +53,7 @@
         host = await first_keeps_the_old(world, without("balances", moved))
         found = (await world.client(host).call("GET", "/balances/1")).failure()
         assert found.verdict.value == "not-run"
-        assert counts(world, host)["shed.way_forbidden"] == 1
+        assert counts(world, host)["spill.shed.way_forbidden"] == 1
         assert journal == []
 
     run(scenario, application=("paper", "desk", "paper"))
