--- a/packages/mdmanifest/mdmanifest/ways.py
+++ b/packages/mdmanifest/mdmanifest/ways.py
@@ -32,18 +32,19 @@
         self.version = version
         self.load = facts["load"]
         self.services = immutables.Map({s["name"]: s for s in facts["services"]})
-        budgets = {b["name"]: b for b in facts["budgets"]}
+        stages = {
+            b["name"]: [(b[s]["wait_us"], b[s]["tries"]) for s in ("arrival", "spill", "endpoint")]
+            for b in facts["budgets"]
+        }
         table, paths = {}, {}
         for way in facts["ways"]:
-            stages = (
-                (budgets[way["budget"]][stage]["wait_us"], budgets[way["budget"]][stage]["tries"])
-                for stage in ("arrival", "spill", "endpoint")
-            )
-            made = Way(way["name"], way["service"], way["path"], way["repeat"] == "safe", *stages)
-            paths[way["path"]] = True
+            path = way["path"]
+            safe = way["repeat"] == "safe"
+            made = Way(way["name"], way["service"], path, safe, *stages[way["budget"]])
+            paths[path] = True
             for caller in way["callers"]:
                 for method in way["methods"]:
-                    table[caller, method, way["path"]] = made
+                    table[caller, method, path] = made
         self.table, self.paths = table, paths
 
     def way(self, caller, method, path):
