--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import trio
-from mesh import hosts, serving
+from facts import manifest, way
+from mesh import configured, hosts, serving
 from returns.pipeline import is_successful
 
 from mdseam import MILLI, SECOND, now, rest
@@ -87,3 +88,28 @@
         assert (await world.operate("GET", "/manifest"))[1]["version"] == 1
 
     run(scenario)
+
+
+def test_a_confirm_under_way_is_answered_when_its_mdconf_is_stopped():
+    async def scenario(world):
+        await configured(world)
+        for number, wait in enumerate((1, 3, 5, 8)):
+            facts = manifest([way(f"w{number}", "/balances")])
+            _, planned = await world.operate("POST", "/plan", facts)
+            told = []
+
+            async def confirm(plan=planned["plan"], told=told):
+                told.append(await world.operate("POST", "/confirm", {"plan": plan}))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(confirm)
+                await rest(wait * MILLI)
+                await world.stop(f"mdconf@{world.core[0]}")
+            status, answer = told[0]
+            assert (status, answer["version"]) == (200, number + 2)
+            read = (await world.operate("GET", "/manifest", core=1))[1]
+            assert read["version"] == number + 2
+            await world.start("mdconf", world.core[0])
+            await world.eventually(lambda: not world.node("mdconf", world.core[0]).not_ready())
+
+    run(scenario, application=("desk",))
