One seal for files, one word for a broken disk, no state told twice

The endpoint's record had a checksum of its own beside the register's: both use mdseam's sealed and unsealed now (a record written before this is read as begun, and refused as may-have-run). Three handlers turned a disk's breakdown into the same word: disk_sheds. The mender asks the store whether it votes, and works out the head's plans once.

--- a/packages/mdconf/mdconf/mend.py
+++ b/packages/mdconf/mdconf/mend.py
@@ -33,7 +33,7 @@
     async def run(self):
         while True:
             await rest(PACE)
-            if self.store.record is not None and self.store.disk in self.store.everybody:
+            if self.store.voter:
                 await self.scrub()
                 if self.turn % 2:
                     await self.compare()
@@ -131,7 +131,8 @@
 
     async def sweep(self, head, plan_facts):
         """Removes old files. head was read from a majority just now."""
-        kept = {*head["ranges"], *(plan for _, plan in head["history"])}
+        plans = {plan for _, plan in head["history"]}
+        kept = plans | set(head["ranges"])
         for _, plan in head["history"][-RANGES_KEPT:]:
             if plan not in self.ranges_of:
                 facts = await plan_facts(plan)
@@ -139,8 +140,7 @@
                     return  # what it names can't be told now
                 self.ranges_of[plan] = facts["ranges"]
             kept.update(self.ranges_of[plan])
-        live = {plan for _, plan in head["history"]}
-        self.ranges_of = {p: r for p, r in self.ranges_of.items() if p in live}
+        self.ranges_of = {p: r for p, r in self.ranges_of.items() if p in plans}
         for name in await self.store.names():
             if name not in kept and await self.store.drop_idle(name, 2 * PLAN_LIFE):
                 self.counts["removed"] += 1
--- a/packages/mdconf/mdconf/part.py
+++ b/packages/mdconf/mdconf/part.py
@@ -4,6 +4,7 @@
 
 import hmac
 import json
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import ormsgpack
@@ -189,15 +190,14 @@
         if version < store.record["version"]:
             raise Shed("old_members", record=store.record)
         try:
-            if method == "prepare":
-                return await store.keeper.prepare(args[0], tuple(args[1]))
-            if method == "write":
-                return await store.keeper.write(args[0], tuple(args[1]), args[2])
-            return store.keeper.read(args[0])
+            with disk_sheds():
+                if method == "prepare":
+                    return await store.keeper.prepare(args[0], tuple(args[1]))
+                if method == "write":
+                    return await store.keeper.write(args[0], tuple(args[1]), args[2])
+                return store.keeper.read(args[0])
         except Lost:
             raise Shed("lost_key") from None
-        except OSError as cause:
-            raise Shed("disk", cause=str(cause)) from None
 
     # ------------------------------------------------------------ members that change
 
@@ -411,10 +411,8 @@
 
     @handlers.on("blob.put")
     async def on_put(self, peer, bodies):
-        try:
+        with disk_sheds():
             return [await self.store.put_blob(bytes(body)) for body in bodies]
-        except OSError as cause:
-            raise Shed("disk", cause=str(cause)) from None
 
     def others(self):
         """{disk id: address} of all other members."""
@@ -494,10 +492,8 @@
 
     @handlers.on("audit.put")
     async def on_audit(self, peer, records):
-        try:
+        with disk_sheds():
             await self.store.put_audit(records)
-        except OSError as cause:
-            raise Shed("disk", cause=str(cause)) from None
 
     @handlers.on("audit.get")
     async def on_audit_get(self, peer, versions):
@@ -824,6 +820,15 @@
     return Reply(200, {"state": "confirmed", "plan": plan, "version": version})
 
 
+@contextmanager
+def disk_sheds():
+    """To who asked over a link, a disk that can't be written is a word, no defect."""
+    try:
+        yield
+    except OSError as cause:
+        raise Shed("disk", cause=str(cause)) from None
+
+
 def applied(head, plan):
     """The version that the plan became, or 0."""
     return next((v for v, p in head["history"] if p == plan), 0)
--- a/packages/mdconf/mdconf/store.py
+++ b/packages/mdconf/mdconf/store.py
@@ -5,8 +5,8 @@
 import ormsgpack
 import trio
 
-from mdregister import Keeper, sealed, unsealed
-from mdseam import SECOND, fingerprint, now
+from mdregister import Keeper
+from mdseam import SECOND, fingerprint, now, sealed, unsealed
 
 
 class Store:
--- a/packages/mdlib/mdlib/record.py
+++ b/packages/mdlib/mdlib/record.py
@@ -13,7 +13,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -21,7 +20,7 @@
 import ormsgpack
 
 from mdhttp import Reply
-from mdseam import MemoryDisk, fingerprint
+from mdseam import MemoryDisk, fingerprint, sealed, unsealed
 
 MOST = 10_000
 
@@ -68,13 +67,10 @@
     async def load(self):
         found = []
         for name in await self.disk.names("key"):
-            data = await self.disk.read(f"key/{name}")
-            seal, body = data[:16], data[16:]
-            if hashlib.blake2b(body, digest_size=16).digest() != seal:
-                # something was begun under this key; nobody can tell what
-                found.append((name, Kept("", 0)))
-            else:
-                found.append((name, Kept(*ormsgpack.unpackb(body))))
+            body = unsealed(await self.disk.read(f"key/{name}"))
+            # of a bad file: something was begun under this key, and nobody can tell what
+            kept = Kept("", 0) if body is None else Kept(*ormsgpack.unpackb(body))
+            found.append((name, kept))
         self.known = OrderedDict(sorted(found, key=lambda pair: pair[1].number))
         self.number = max((kept.number for kept in self.known.values()), default=0)
 
@@ -107,7 +103,7 @@
 
     async def keep(self, name, kept):
         body = ormsgpack.packb([kept.of, kept.number, kept.status, kept.body])
-        await self.disk.write(f"key/{name}", hashlib.blake2b(body, digest_size=16).digest() + body)
+        await self.disk.write(f"key/{name}", sealed(body))
 
     async def forget(self):
         while len(self.known) > self.most:
--- a/packages/mdregister/mdregister/__init__.py
+++ b/packages/mdregister/mdregister/__init__.py
@@ -4,7 +4,7 @@
 promised its ballot, and writes the new value to a majority under the same ballot.
 """
 
-from mdregister.keeper import Keeper, Lost, sealed, unsealed
+from mdregister.keeper import Keeper, Lost
 from mdregister.proposer import NoMajority, Proposer, Unclear, holds_majorities
 
 __all__ = [
@@ -14,6 +14,4 @@
     "Proposer",
     "Unclear",
     "holds_majorities",
-    "sealed",
-    "unsealed",
 ]
--- a/packages/mdregister/mdregister/keeper.py
+++ b/packages/mdregister/mdregister/keeper.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import hashlib
 from dataclasses import dataclass
 
 import ormsgpack
 import trio
 
-from mdseam import fingerprint
+from mdseam import fingerprint, sealed, unsealed
 
 ZERO = (0, "")
 
@@ -17,22 +16,6 @@
     """The file of a key failed its fingerprint: this member can't vote on the key."""
 
 
-def sealed(body):
-    return hashlib.blake2b(body, digest_size=32).digest() + body
-
-
-def unsealed(data):
-    """The body, or None if the file is torn or altered.
-
-    >>> unsealed(sealed(b"x")), unsealed(sealed(b"x")[:-1]), unsealed(b"")
-    (b'x', None, None)
-    """
-    if data is None or len(data) < 32:
-        return None
-    body = data[32:]
-    return body if hashlib.blake2b(body, digest_size=32).digest() == data[:32] else None
-
-
 @dataclass(frozen=True)
 class Cell:
     # Invariants: accepted <= promised; value belongs to accepted; file counts the versions of
--- a/packages/mdseam/mdseam/__init__.py
+++ b/packages/mdseam/mdseam/__init__.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from mdseam.disk import Disk, MemoryDisk, NoDisk
+from mdseam.disk import Disk, MemoryDisk, NoDisk, sealed, unsealed
 from mdseam.net import Address, HttpBreakdown, Net
 
 SECOND = 1_000_000
@@ -33,6 +33,8 @@
     "in_thread",
     "now",
     "rest",
+    "sealed",
+    "unsealed",
     "until",
 ]
 
--- a/packages/mdseam/mdseam/disk.py
+++ b/packages/mdseam/mdseam/disk.py
@@ -10,11 +10,28 @@
 
 from __future__ import annotations
 
+import hashlib
 import os
 
 import trio
 
 
+def sealed(body):
+    return hashlib.blake2b(body, digest_size=32).digest() + body
+
+
+def unsealed(data):
+    """The body, or None if the file is torn or altered.
+
+    >>> unsealed(sealed(b"x")), unsealed(sealed(b"x")[:-1]), unsealed(b"")
+    (b'x', None, None)
+    """
+    if data is None or len(data) < 32:
+        return None
+    body = data[32:]
+    return body if hashlib.blake2b(body, digest_size=32).digest() == data[:32] else None
+
+
 class Disk:
     """The real one: written aside, synced, renamed, and the folder synced."""
 
--- a/packages/mdsim/mdsim/disk.py
+++ b/packages/mdsim/mdsim/disk.py
@@ -73,8 +73,8 @@
         """What was being written aside is torn: a part of it may be found there later."""
         torn = {f"{n}.aside": d[: self.rng.randrange(len(d) + 1)] for n, d in self.writing.items()}
         self.writing = {}
-        self.files = self.lasting = {**self.lasting, **torn}
-        self.files = dict(self.files)
+        self.lasting |= torn
+        self.files = dict(self.lasting)
 
     def rot(self, name):
         data = self.files[name]
