--- a/packages/mdconf/mdconf/part.py
+++ b/packages/mdconf/mdconf/part.py
@@ -717,15 +717,12 @@
         # a whole round under a new ballot: whatever was under way is in it, or never will be
         head = await self.proposer.change(HEAD, lambda old: old, now() + OPERATE) or NO_HEAD
         version = applied(head, plan)
-        state = (
-            "confirmed"
-            if version
-            else "outdated"
-            if head["version"] != facts["base"]
-            else "expired"
-            if self.expired(facts)
-            else "open"
-        )
+        if version:
+            state = "confirmed"
+        elif head["version"] != facts["base"]:
+            state = "outdated"
+        else:
+            state = "expired" if self.expired(facts) else "open"
         return Reply(
             200,
             {
--- a/packages/mdproxy/mdproxy/walk.py
+++ b/packages/mdproxy/mdproxy/walk.py
@@ -74,13 +74,10 @@
 
     async def walk(self, call):
         """Drive a call to its outcome."""
-        call.step = (
-            self.look_up_step
-            if call.repeat
-            else self.choose_step
-            if call.home
-            else self.enter_spilled
-        )
+        if call.repeat:
+            call.step = self.look_up_step
+        else:
+            call.step = self.choose_step if call.home else self.enter_spilled
         handle = self.slab.put(call)
         try:
             while (call := self.slab.get(handle)).step is not None:
