--- /dev/null
+++ b/tests/test_members_auto.py
@@ -0,0 +1,626 @@
+"""Members that found, grow, mend and follow exchanged machines by themselves."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+import trio
+from facts import manifest, way
+from mesh import configured
+
+from mdboot import checked
+from mdconf.store import Store
+from mdregister import Proposer
+from mdseam import MILLI, SECOND, HttpBreakdown, MemoryDisk, now, rest
+from mdsim import run
+from mdsim.world import KEY
+
+SEEDS = range(1, 5)
+
+
+def changed(number):
+    return manifest([way(f"w{number}", "/balances")])
+
+
+class Fleet:
+    """mdconf that were told seeds only. Invariant: founding and told are what the next start of
+    a process gets."""
+
+    def __init__(self, world, core, losses=1, seeds=None):
+        self.world, self.losses = world, losses
+        self.hosts = [f"10.0.0.{n}" for n in range(1, core + 1)]
+        self.told = seeds or self.hosts[:3]
+        self.founding = True
+        world.boot = self.boot
+        world.core = self.hosts
+
+    def boot(self, role, host):
+        facts = {
+            "host": host,
+            "hall": "a",
+            "seeds": [f"{h}:7421" for h in self.told],
+            "fleet_key": KEY,
+        }
+        if role == "mdconf":
+            facts |= {"data": "sim", "founding": self.founding, "losses": self.losses}
+            facts["members"] = []
+        return checked(role, facts)
+
+    async def up(self, hosts=None):
+        async with trio.open_nursery() as nursery:
+            for host in hosts or self.hosts:
+                nursery.start_soon(self.world.start, "mdconf", host)
+
+    async def founded(self, within=4 * SECOND):
+        await self.up()
+        took = await self.world.eventually(lambda: self.voting(self.hosts), within)
+        self.founding = False
+        return took
+
+    def store(self, host):
+        return self.world.part("mdconf", host).store
+
+    def running(self):
+        return [h for h in self.hosts if f"mdconf@{h}" in self.world.processes]
+
+    def voting(self, hosts):
+        """Each of these is ready and knows exactly these as the voters, under their disks."""
+        wanted = {self.store(h).disk: f"{h}:7421" for h in hosts}
+        return all(
+            self.store(h).record is not None
+            and self.store(h).record["voters"] == wanted
+            and self.store(h).record["next"] is None
+            and not self.world.node("mdconf", h).not_ready()
+            for h in hosts
+        )
+
+    async def settle(self, hosts, within=4 * SECOND):
+        return await self.world.eventually(lambda: self.voting(hosts), within, 10 * MILLI)
+
+    def records(self):
+        return {h: self.store(h).record for h in self.running()}
+
+
+async def configure(world, number, host):
+    world.core = [host]
+    return await world.configure(changed(number))
+
+
+class Operator:
+    """Makes a change after another. Invariant: accepted holds the versions told, in order."""
+
+    def __init__(self, world, hosts):
+        self.world, self.hosts = world, hosts
+        self.accepted, self.tried, self.over = [], 0, False
+
+    async def run(self):
+        while not self.over:
+            self.tried += 1
+            host = self.hosts()[self.tried % len(self.hosts())]
+            try:
+                self.world.core = [host]
+                with trio.move_on_after(6):
+                    status, planned = await self.world.operate("POST", "/plan", changed(self.tried))
+                    if status == 200 and planned["plan"]:
+                        self.world.core = [host]
+                        status, told = await self.world.operate(
+                            "POST", "/confirm", {"plan": planned["plan"]}
+                        )
+                        if status == 200:
+                            self.accepted.append(told["version"])
+            except HttpBreakdown:
+                pass  # just killed
+            await rest(100 * MILLI)
+
+
+async def read_back(world, host):
+    world.core = [host]
+    status, told = await world.operate("GET", "/manifest")
+    assert status == 200, told
+    return told["version"]
+
+
+# ---------------------------------------------------------------- founding
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_seeds_found_and_all_of_up_to_five_become_voters(seed):
+    async def scenario(world):
+        fleet = Fleet(world, core=5, losses=2)
+        assert await fleet.founded() <= 4 * SECOND
+        assert len(world.trace.events(601)) == 1
+        assert await configure(world, 1, fleet.hosts[4]) == 1
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_of_more_than_five_only_as_many_as_the_losses_need_vote(seed):
+    async def scenario(world):
+        fleet = Fleet(world, core=7, losses=1)
+        await fleet.up()
+        await rest(5 * SECOND)
+        records = list(fleet.records().values())
+        assert {len(r["voters"]) for r in records} == {3}
+        assert all(r == records[0] for r in records)
+        assert not any(world.node("mdconf", h).not_ready() for h in fleet.hosts)
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_nobody_founds_while_a_founder_is_missing_or_not_founding(seed):
+    async def scenario(world):
+        fleet = Fleet(world, core=3)
+        await fleet.up(fleet.hosts[:2])
+        fleet.founding = False
+        await fleet.up(fleet.hosts[2:])
+        await rest(5 * SECOND)
+        assert not any(fleet.records().values())
+        assert not world.trace.events(601)
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_with_differing_seeds_nobody_founds(seed):
+    async def scenario(world):
+        fleet = Fleet(world, core=4)
+        await fleet.up(fleet.hosts[:3:2])
+        fleet.told = fleet.hosts[1:4]
+        await fleet.up(fleet.hosts[1::2])
+        await rest(5 * SECOND)
+        assert not any(fleet.records().values())
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("founding", [True, False])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_all_killed_at_once_come_back_as_they_were(seed, founding):
+    async def scenario(world):
+        fleet = Fleet(world, core=3)
+        await fleet.founded()
+        assert await configure(world, 1, fleet.hosts[0]) == 1
+        record = fleet.store(fleet.hosts[0]).record
+        for host in fleet.hosts:
+            world.power_off("mdconf", host)
+        fleet.founding = founding
+        await rest(SECOND)
+        await fleet.up()
+        assert await fleet.settle(fleet.hosts) <= 2 * SECOND
+        assert fleet.store(fleet.hosts[0]).record == record
+        assert await read_back(world, fleet.hosts[1]) == 1
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_blank_majority_never_founds_beside_a_record(seed):
+    async def scenario(world):
+        fleet = Fleet(world, core=3)
+        await fleet.founded()
+        assert await configure(world, 1, fleet.hosts[0]) == 1
+        for host in fleet.hosts:
+            world.power_off("mdconf", host)
+        for host in fleet.hosts[:2]:
+            world.lose_disk("mdconf", host)
+        fleet.founding = True
+        await fleet.up()
+        await rest(6 * SECOND)
+        assert len(world.trace.events(601)) == 1
+        assert {r["version"] for r in fleet.records().values()} == {1}
+        assert all(world.node("mdconf", h).not_ready() for h in fleet.hosts)
+
+    run(scenario, seed)
+
+
+# ---------------------------------------------------------------- exchanged machines
+
+
+@pytest.mark.parametrize("overlap_us", [-SECOND, 0, 2 * SECOND])
+@pytest.mark.parametrize(("core", "losses"), [(3, 1), (5, 2)])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_all_machines_are_exchanged_one_after_another_under_changes(seed, core, losses, overlap_us):
+    async def scenario(world):
+        fleet = Fleet(world, core=core, losses=losses)
+        await fleet.founded()
+        operator = Operator(world, fleet.running)
+        world.nursery.start_soon(operator.run)
+        for number, old in enumerate(list(fleet.hosts)):
+            new = f"10.0.3.{number + 1}"
+            fleet.told = fleet.running()[:3]  # as they were before this exchange
+            if overlap_us <= 0:
+                world.power_off("mdconf", old)
+                fleet.hosts.remove(old)
+                await rest(-overlap_us)
+            begun = now()
+            await world.start("mdconf", new)
+            fleet.hosts.append(new)
+            if overlap_us > 0:
+                await rest(overlap_us)
+                world.power_off("mdconf", old)
+                fleet.hosts.remove(old)
+            await world.eventually(
+                lambda n=new: not world.node("mdconf", n).not_ready(), 3_200 * MILLI
+            )
+            await rest(begun + 4 * SECOND - now())
+        operator.over = True
+        await rest(SECOND)
+        assert len(operator.accepted) >= 5 * core
+        assert operator.accepted == sorted(set(operator.accepted))
+        assert await read_back(world, fleet.hosts[-1]) >= operator.accepted[-1]
+        # as many as the losses to be borne may go now
+        for host in fleet.hosts[:losses]:
+            world.power_off("mdconf", host)
+        assert await read_back(world, fleet.hosts[-1]) >= operator.accepted[-1]
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_voter_that_only_restarts_stays_and_one_gone_for_good_waits_for_a_new_one(seed):
+    async def scenario(world):
+        fleet = Fleet(world, core=3)
+        await fleet.founded()
+        record = fleet.store(fleet.hosts[0]).record
+        host = fleet.hosts[seed % 3]
+        world.power_off("mdconf", host)
+        await rest(1_500 * MILLI)
+        await world.start("mdconf", host)
+        await rest(3 * SECOND)
+        assert all(r == record for r in fleet.records().values())
+        world.power_off("mdconf", host)
+        fleet.hosts.remove(host)
+        await rest(20 * SECOND)
+        assert all(r == record for r in fleet.records().values())
+        fleet.hosts.append("10.0.3.1")
+        await world.start("mdconf", "10.0.3.1")
+        assert await fleet.settle(fleet.hosts) <= 2_500 * MILLI
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_one_too_many_of_an_even_number_is_left_out_and_comes_back(seed):
+    async def scenario(world):
+        fleet = Fleet(world, core=4)
+        await fleet.founded()
+        dead = fleet.hosts[seed % 4]
+        world.power_off("mdconf", dead)
+        left = [h for h in fleet.hosts if h != dead]
+        await fleet.settle(left, 8 * SECOND)
+        world.power_off("mdconf", left[0])  # of three, two go on
+        assert await configure(world, 1, left[1]) == 1
+        await world.start("mdconf", left[0])
+        await world.start("mdconf", dead)
+        await fleet.settle(fleet.hosts, 4 * SECOND)
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_machine_whose_disk_moved_to_a_new_address_stays_the_same_voter(seed):
+    async def scenario(world):
+        fleet = Fleet(world, core=3)
+        await fleet.founded()
+        old = fleet.hosts.pop(seed % 3)
+        world.power_off("mdconf", old)
+        disk = world.disks["mdconf", "10.0.3.1"] = world.disks.pop(("mdconf", old))
+        fleet.hosts.append("10.0.3.1")
+        await world.start("mdconf", "10.0.3.1")
+        await fleet.settle(fleet.hosts)
+        assert disk is world.disks["mdconf", "10.0.3.1"]
+        world.power_off("mdconf", fleet.hosts[0])
+        assert await configure(world, 1, fleet.hosts[1]) == 1
+
+    run(scenario, seed)
+
+
+# ---------------------------------------------------------------- lost disks
+
+
+@pytest.mark.parametrize("core", [3, 5])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_lost_disk_is_replaced_while_all_others_lose_power(seed, core):
+    async def scenario(world):
+        fleet = Fleet(world, core=core, losses=core // 2)
+        await fleet.founded()
+        assert await configure(world, 1, fleet.hosts[0]) == 1
+        lost = fleet.hosts[seed % core]
+        for host in fleet.hosts:
+            world.power_off("mdconf", host)
+        world.lose_disk("mdconf", lost)
+        await fleet.up()
+        assert await fleet.settle(fleet.hosts) <= 2 * SECOND
+        others = [h for h in fleet.hosts if h != lost]
+        world.power_off("mdconf", others[0])  # now the new disk's vote may be needed
+        assert await read_back(world, lost) == 1
+        assert await configure(world, 2, lost) == 2
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_two_lost_disks_of_five_are_replaced(seed):
+    async def scenario(world):
+        fleet = Fleet(world, core=5, losses=2)
+        await fleet.founded()
+        assert await configure(world, 1, fleet.hosts[0]) == 1
+        for host in fleet.hosts[:2]:
+            world.power_off("mdconf", host)
+            world.lose_disk("mdconf", host)
+        await fleet.up(fleet.hosts[:2])
+        assert await fleet.settle(fleet.hosts) <= 3 * SECOND
+        for host in fleet.hosts[3:]:
+            world.power_off("mdconf", host)
+        assert await configure(world, 2, fleet.hosts[0]) == 2
+
+    run(scenario, seed)
+
+
+def test_a_rotten_record_makes_another_disk():
+    """Its older record would let former voters vote, and it would count as blank."""
+
+    async def work(world):
+        disk = MemoryDisk()
+        store = Store(disk, random.Random(1), lambda *_, **__: None)
+        await store.load()
+        assert store.blank
+        former = store.disk
+        await store.adopt({"version": 1, "voters": {former: "a"}, "next": None})
+        await store.adopt({"version": 2, "voters": {"z": "b"}, "next": None})
+        disk.files["members/00000002"] = b"rotten"
+        again = Store(disk, random.Random(2), lambda *_, **__: None)
+        await again.load()
+        assert again.disk != former
+        assert again.record["version"] == 1
+        assert not again.blank
+
+    run(work)
+
+
+def test_a_slower_older_record_does_not_follow_a_newer():
+    async def work(world):
+        class Slow(MemoryDisk):
+            async def write(self, name, data):
+                await rest(SECOND if name.endswith("2") else 0)
+                await super().write(name, data)
+
+        store = Store(Slow(), random.Random(1), lambda *_, **__: None)
+        await store.load()
+        async with trio.open_nursery() as nursery:
+            for version in (2, 3):
+                record = {"version": version, "voters": {"a": "x"}, "next": None}
+                nursery.start_soon(store.adopt, record)
+                await rest(10 * MILLI)
+        assert store.record["version"] == 3
+
+    run(work)
+
+
+# ---------------------------------------------------------------- changes that were cut
+
+
+@pytest.mark.parametrize("step", range(1, 60, 4))
+def test_a_change_whose_actor_dies_at_any_disk_step_is_ended(step):
+    async def scenario(world):
+        fleet = Fleet(world, core=3)
+        await fleet.founded()
+        assert await configure(world, 1, fleet.hosts[0]) == 1
+        actor = world.disks["mdconf", fleet.hosts[0]]
+        await world.start("mdconf", "10.0.3.1")
+        actor.lose_at = actor.steps + step
+        await rest(3 * SECOND)
+        actor.lose_at = None
+        if f"mdconf@{fleet.hosts[0]}" in world.processes:
+            world.power_off("mdconf", fleet.hosts[0])
+        fleet.hosts.append("10.0.3.1")
+        await rest(SECOND)
+        actor.power_off()
+        await world.start("mdconf", fleet.hosts[0])
+        await fleet.settle(fleet.hosts, 6 * SECOND)
+        assert await configure(world, 2, "10.0.3.1") == 2
+
+    run(scenario, step)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_change_is_ended_though_the_one_that_was_to_come_in_lost_its_disk(seed):
+    async def scenario(world):
+        fleet = Fleet(world, core=3)
+        await fleet.founded()
+        for host in fleet.hosts:  # nobody gets further than the first step
+            world.part("mdconf", host).carry_files = forever
+        await world.start("mdconf", "10.0.3.1")
+        await world.eventually(lambda: fleet.store(fleet.hosts[0]).record["next"])
+        world.power_off("mdconf", "10.0.3.1")
+        world.lose_disk("mdconf", "10.0.3.1")
+        for host in fleet.hosts:
+            world.power_off("mdconf", host)
+        await fleet.up()
+        await world.start("mdconf", "10.0.3.1")
+        fleet.hosts.append("10.0.3.1")
+        await fleet.settle(fleet.hosts, 8 * SECOND)
+
+    run(scenario, seed)
+
+
+async def forever(due):
+    await trio.sleep_forever()
+
+
+@pytest.mark.parametrize("who", range(3))
+def test_a_stalled_disk_does_not_hold_up_the_members(who):
+    async def scenario(world):
+        fleet = Fleet(world, core=3)
+        await fleet.founded()
+        disk = world.disks["mdconf", fleet.hosts[who]]
+        disk.stalled = trio.Event()
+        await world.start("mdconf", "10.0.3.1")
+        new = world.node("mdconf", "10.0.3.1")
+        assert await world.eventually(lambda: not new.not_ready(), 7 * SECOND)
+        assert await configure(world, 1, "10.0.3.1") == 1
+        disk.stalled.set()
+        disk.stalled = None
+        fleet.hosts.append("10.0.3.1")
+        await fleet.settle(fleet.hosts, 8 * SECOND)
+
+    run(scenario, who)
+
+
+def test_a_start_with_a_long_history_on_a_slow_disk_is_quick():
+    async def work(world):
+        class Slow(MemoryDisk):
+            async def read(self, name):
+                await rest(10 * MILLI)
+                return await super().read(name)
+
+        disk = Slow()
+        store = Store(disk, random.Random(1), lambda *_, **__: None)
+        await store.load()
+        await store.put_audit(dict.fromkeys(range(1, 1001), "record"))
+        begun = now()
+        again = Store(disk, random.Random(1), lambda *_, **__: None)
+        await again.load()
+        assert len(again.audit) == 1000
+        assert now() - begun <= SECOND
+
+    run(work)
+
+
+# ---------------------------------------------------------------- losses to be borne
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_configuration_is_taken_before_enough_vote_for_two_losses(seed):
+    async def scenario(world):
+        fleet = Fleet(world, core=5, losses=2)
+        await fleet.up(fleet.hosts[:3])
+        await world.eventually(lambda: all(fleet.records().values()))
+        world.core = fleet.hosts[:1]
+        status, told = await world.operate("POST", "/plan", changed(1))
+        assert (status, told["code"]) == (503, "too_few_members")
+        assert all(world.node("mdconf", h).not_ready() for h in fleet.hosts[:3])
+        await fleet.up(fleet.hosts[3:])
+        await fleet.settle(fleet.hosts, 4 * SECOND)
+        assert await configure(world, 1, fleet.hosts[0]) == 1
+        for host in fleet.hosts[:2]:
+            world.power_off("mdconf", host)
+            world.lose_disk("mdconf", host)
+        assert await read_back(world, fleet.hosts[4]) == 1
+
+    run(scenario, seed)
+
+
+def test_a_fleet_with_fewer_machines_than_wanted_starts_after_a_while():
+    async def scenario(world):
+        fleet = Fleet(world, core=3, losses=2)
+        await fleet.up()
+        await world.eventually(lambda: all(fleet.records().values()))
+        took = await fleet.settle(fleet.hosts, 8 * SECOND)
+        assert 3 * SECOND <= took <= 6 * SECOND
+        assert await configure(world, 1, fleet.hosts[0]) == 1
+
+    run(scenario)
+
+
+# ---------------------------------------------------------------- rounds and records
+
+
+def test_a_promise_of_former_voters_allows_no_write_among_those_that_followed():
+    """The voters change between a ballot's prepare and its write."""
+
+    async def work(world):
+        groups, versions, written = [["x", "y", "z"]], [1], []
+
+        async def ask(member, method, args, due, version):
+            if method == "prepare":
+                return "yes", (0, ""), None
+            written.append((version, args[2]))
+            if version < versions[0]:
+                raise TimeoutError  # refused by who knows the newer record
+            return "yes", args[1]
+
+        def make(old):
+            if versions[0] == 1:
+                groups[0], versions[0] = ["p", "q", "r"], 2
+                return "old"
+            return "new"
+
+        proposer = Proposer(
+            "n", lambda: list(groups), ask, random.Random(1), world.nursery, lambda: versions[0]
+        )
+        assert await proposer.change("k", make, now() + 5 * SECOND) == "new"
+        assert {v for v, value in written if value == "old"} == {1}
+
+    run(work)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_blank_disk_at_a_voters_address_does_not_count_as_that_voter(seed):
+    """Its empty list of keys would hide a key that only one more of a majority holds."""
+
+    async def scenario(world):
+        await configured(world)
+        host = world.core[0]
+        part = world.part("mdconf", world.core[1])
+        record = part.store.record
+        world.power_off("mdconf", host)
+        world.lose_disk("mdconf", host)
+        world.part("mdconf", world.core[2]).changing = part.changing = 1  # they don't mend it
+        await world.start("mdconf", host)
+        world.part("mdconf", host).changing = 1
+        await world.eventually(lambda: world.part("mdconf", host).store.record)
+        told = await part.tell(
+            record["voters"], "member.keys", record, now() + SECOND, lambda answers: False
+        )
+        assert set(told) == {d for d, a in record["voters"].items() if a != f"{host}:7421"}
+
+    run(scenario, seed)
+
+
+def test_a_change_of_another_is_not_ended_before_its_keys_are_carried_over():
+    async def scenario(world):
+        fleet = Fleet(world, core=3)
+        await fleet.founded()
+        part = world.part("mdconf", fleet.hosts[0])
+        disks = dict(part.store.record["voters"])
+        part.changing = 1
+        for host in fleet.hosts[1:]:
+            world.part("mdconf", host).changing = 1
+
+        def begin(r):
+            return {"version": r["version"] + 1, "voters": r["voters"], "next": disks}
+
+        first = await part.step_members(begin, now() + SECOND)
+
+        async def meanwhile(due):
+            """The other ends the change, and begins the next."""
+            await part.step_members(
+                lambda r: {"version": r["version"] + 1, "voters": disks, "next": None}, due
+            )
+            await part.step_members(begin, due)
+
+        part.carry_files = meanwhile
+        with pytest.raises(Exception, match="another_change"):
+            await part.end_known(first, now() + 2 * SECOND)
+        assert part.store.record["next"] == disks
+        assert part.store.record["version"] == first["version"] + 2
+
+    run(scenario)
+
+
+def test_many_keys_are_carried_over_in_well_under_a_second():
+    async def scenario(world):
+        fleet = Fleet(world, core=3)
+        await fleet.founded()
+        part = world.part("mdconf", fleet.hosts[0])
+        for n in range(100):
+            await part.proposer.change(f"duty/{n}", lambda old, n=n: n, now() + SECOND)
+        begun = now()
+        await part.carry_over(part.store.record, now() + 5 * SECOND)
+        assert now() - begun <= 600 * MILLI
+
+    run(scenario)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -7,7 +7,9 @@
 from mesh import configured, hosts, serving
 from returns.pipeline import is_successful
 
-from mdseam import MILLI, SECOND, now, rest
+from mdhttp import Reply, Table
+from mdreg.part import Part
+from mdseam import MILLI, SECOND, HttpBreakdown, now, rest
 from mdsim import run
 
 
@@ -113,3 +115,42 @@
             await world.eventually(lambda: not world.node("mdconf", world.core[0]).not_ready())
 
     run(scenario, application=("desk",))
+
+
+def test_a_further_door_is_served_and_stopped_with_the_first(monkeypatch):
+    further = Table()
+
+    @further.on("POST", "/slow")
+    async def slow(part, request):
+        await rest(700 * MILLI)
+        return Reply(200, {"of": part.node.boot.name, "got": (await request.body()).decode()})
+
+    monkeypatch.setattr(Part, "doors", lambda part: {f"{part.node.boot.host}:7419": further})
+
+    async def scenario(world):
+        await world.whole()
+        host = world.core[0]
+        door, found = f"{host}:7419", []
+
+        async def call():
+            found.append(await world.http(host, "POST", door, "/slow", {"a": 1}))
+
+        status, lines, _ = await world.http(host, "POST", door, "/slow", {})
+        assert status == 200 and b"connection" not in lines
+        assert (await world.http(host, "GET", door, "/ready"))[0] == 404  # its own table alone
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await rest(10 * MILLI)
+            assert await world.stop(f"mdreg@{host}") < 5 * SECOND
+        status, lines, told = found[0]
+        assert (status, told) == (200, {"of": f"mdreg@{host}", "got": '{"a": 1}'})
+        assert lines[b"connection"] == b"close"
+        for address in (door, f"{host}:7410"):
+            try:
+                await world.http(world.core[1], "GET", address, "/live")
+            except HttpBreakdown as broken:
+                assert not broken.sent
+            else:
+                raise AssertionError("a door is open still")
+
+    run(scenario)
