--- a/packages/mdboot/mdboot/__init__.py
+++ b/packages/mdboot/mdboot/__init__.py
@@ -51,6 +51,7 @@
         "link_port": PORT,
         "gate_port": PORT,
         "gate": {"type": "string", "pattern": ADDRESS},
+        "app": {"type": "string", "pattern": ADDRESS},
         "service": {"type": "string", "minLength": 1, "maxLength": 256},
         "founding": {"type": "boolean"},
         "losses": LOSSES,
@@ -132,6 +133,7 @@
     "link_port": port,
     "gate_port": port,
     "gate": address,
+    "app": address,
     "service": lambda value: text(value) and len(value) <= 256,
     "founding": lambda value: isinstance(value, bool),
     "losses": whole(0, LOSSES["maximum"]),
@@ -162,6 +164,7 @@
     gate_port: int = 7402  # where the mdproxy of other machines hand calls over
     gate: str | None = None  # ip:port where calls of this machine arrive
     service: str | None = None  # of the endpoint beside
+    app: str | None = None  # ip:port of the endpoint beside
     founding: bool = True  # may this process take part in founding the register
     losses: int = 1  # members lost at once to be borne: 2 * losses + 1 voters are wanted
     linger_us: int = 1_200_000  # a stopping process keeps its doors open for so long
@@ -255,6 +258,7 @@
 OPTIONAL = (
     "gate_port",
     "gate",
+    "app",
     "service",
     "founding",
     "losses",
--- a/packages/mdgate/mdgate/dialect.py
+++ b/packages/mdgate/mdgate/dialect.py
@@ -12,7 +12,8 @@
 
     call_id: a try's id, sent back by the endpoint. deadline: the time left, a whole number of
     deadline_unit_us. stamp: what proves an endpoint's answer (b"": no such proof). instance: the
-    life of the endpoint that may run the call; others refuse it. load: "running,waiting,slots" on
+    life of the endpoint that may run the call; others refuse it. told_instance: the life of the
+    endpoint that gives a health answer. load: "running,waiting,slots" on
     answers. not_run: its presence in an endpoint's answer says that the call didn't run. caller:
     the calling service. error_field: where our own refusals' JSON bodies say what is wrong.
     """
@@ -22,6 +23,7 @@
     deadline_unit_us: int = 1
     stamp: bytes = b""
     instance: bytes = b"md-incarnation"
+    told_instance: bytes = b"md-incarnation"
     load: bytes = b"md-load"
     not_run: bytes = b"md-not-run"
     caller: bytes = b"md-caller"
--- a/packages/mdgate/mdgate/gate.py
+++ b/packages/mdgate/mdgate/gate.py
@@ -21,7 +21,7 @@
 RETRY_LEAST = 20 * MILLI
 SLACK = 60 * MILLI  # after the due, an outcome from elsewhere is no longer waited for
 EARLY = 0.22  # until this part of its aim a refusal costs its caller little
-JOIN = 0.5  # a call joins a line if it will likely be served within this part of its aim
+JOIN = 0.3  # a call joins a line if it will likely be served within this part of its aim
 WAIT = 0.8  # and leaves it, at the latest, after this part of it
 SLOWEST, COLD = 4.0, 1.5  # of the load index: it grows with an endpoint's slowness
 ASKS = 2  # neighbours with no room that are asked whether a call may wait there
--- a/packages/mdproxy/mdproxy/gatepart.py
+++ b/packages/mdproxy/mdproxy/gatepart.py
@@ -11,13 +11,14 @@
 from mdproxy.endpoints import Denied, Endpoint
 from mdproxy.part import Part
 from mdproxy.tries import Tries
-from mdseam import MILLI, SECOND, now, rest
+from mdseam import MILLI, SECOND, HttpBreakdown, now, rest, until
 
 LEFT_MAX = (
     1_000  # instances that left and are remembered, so that a late beat can't bring them back
 )
 BEATS = 3  # so many missed, an endpoint is gone
 QUIET = 200 * MILLI
+LOOK, LOOK_WAIT = 60 * MILLI, 300 * MILLI
 FLUSH = 50 * MILLI
 SAFE = (
     0.6  # of the fleet's second tries: windows of nodes don't begin together, and repeats call on
@@ -47,6 +48,7 @@
         self.book.window = BEATS * boot.beat_us + boot.beat_us // 3
         self.sequences, self.left = {}, OrderedDict()
         self.closing = trio.Event()
+        self.leaves = False  # the doors are about to close
         self.listening = 0
 
     def loops(self):
@@ -54,8 +56,14 @@
             "reactor": self.reactor.run,
             "arrivals": self.serve_arrivals,
             "neighbours": self.serve_neighbours,
+            "beside": self.look_beside,
         }
 
+    @property
+    def out(self):
+        # while its doors are open a stopping node serves, and its endpoint is not lost to others
+        return self.leaves
+
     async def serve_arrivals(self):
         self.listening += 1
         await self.wires.listen(self.node.boot.gate, self.gate.accept, self.closing)
@@ -117,6 +125,35 @@
 
     # ------------------------------------------------------------ endpoints
 
+    async def look_beside(self):
+        """A process that has just started asks the endpoint beside who it is, since its next beat
+        may be a whole interval away."""
+        boot, words = self.node.boot, self.dialect
+        while boot.app and now() - self.born < boot.beat_us and not self.book.by_address:
+            await rest(LOOK)
+            service = self.gate.table.services.get(boot.service) if self.gate.table else None
+            if not service or not service.get("health"):
+                continue
+            at = now()
+            try:
+                with until(at + LOOK_WAIT):
+                    connection = self.node.seams.net.http(boot.app)
+                    status, lines, _ = await connection.request("GET", service["health"], [], b"")
+                    await connection.close()
+                    self.found_beside(status, {n.lower(): v for n, v in lines}, words)
+            except HttpBreakdown:
+                pass
+
+    def found_beside(self, status, facts, words):
+        instance = facts.get(words.told_instance.lower(), b"").decode("latin-1")
+        slots = facts.get(words.load.lower(), b"").split(b",")[-1]
+        boot = self.node.boot
+        well = status == 200 and instance and slots.isdigit() and int(slots)
+        if well and not self.book.by_address and instance not in self.left:
+            at = now()
+            self.book.hold(Endpoint(boot.service, boot.app, instance, int(slots), at, at))
+            self.reactor.end_turn()
+
     def endpoint_beat(self, facts):
         """One beat of the endpoint beside. facts: service, address, instance, capacity (calls at
         once), draining, warm_us (how much longer it is slow), sequence. Raises Denied."""
@@ -166,10 +203,11 @@
 
     async def leaving(self):
         self.gate.closing = True
-        await super().leaving()
 
     async def drained(self):
         gate, last = self.gate, self.node.stop_due - SECOND
+        self.leaves = True
+        await self.tell_core()
         while now() - gate.came_at < QUIET and now() < last:
             await rest(QUIET // 4)
         self.closing.set()
--- a/packages/mdproxy/mdproxy/part.py
+++ b/packages/mdproxy/mdproxy/part.py
@@ -23,6 +23,7 @@
 from mdwire import Handlers, Shed
 
 BEAT_CORE = 500 * MILLI
+YOUNG_BEAT = 150 * MILLI  # until the first load list
 PULSE = 50 * MILLI
 BEHIND = 100 * MILLI  # this process' own scheduling is so late: a new call is refused at once
 NAME = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
@@ -46,12 +47,18 @@
         self.asked_at = self.born = now()
         self.late_turns = 0
         self.stale_told = False
+        self.told_nodes_of_beats = False
         self.calls = 0
         node.view.heard = lambda e: self.delivery.heard(e.version, e.role == "mdproxy")
 
     def answers(self):
         return Part.handlers.bound(self) | Delivery.handlers.bound(self.delivery)
 
+    @property
+    def out(self):
+        """Is this node out of the rotation?"""
+        return self.node.stopping
+
     def loops(self):
         return {
             "manifest": self.delivery.run,
@@ -92,11 +99,12 @@
             load = self.walker.ways.load if self.walker.ways else None
             if load and now() - self.asked_at > 2 * load["interval_us"]:
                 self.measure()
-            stale = load and self.walker.lists.stale(now(), load["stale_us"])
+            lists = self.walker.lists
+            stale = load and lists.stale(now(), load["stale_us"])
             if stale and not self.stale_told:
                 self.node.log(704, seq=self.walker.lists.seq, epoch=self.walker.lists.epoch)
             self.stale_told = bool(stale)
-            await rest(BEAT_CORE)
+            await rest(BEAT_CORE if lists.seq else YOUNG_BEAT)
 
     async def tell_core(self):
         me = self.node.view.me
@@ -109,7 +117,8 @@
             "version": self.delivery.version,
             "newest": self.delivery.newest,
             "cut_off": self.delivery.cut_off,
-            "leaving": self.node.stopping,
+            "leaving": self.out,
+            "listless": not self.walker.lists.seq and not self.told_nodes_of_beats,
             "interval_us": self.walker.ways.load["interval_us"] if self.walker.ways else None,
             "endpoints": [
                 {
@@ -125,7 +134,17 @@
             "counts": dict(self.walker.counts),
         }
         regs = self.node.view.core("mdreg")
-        await self.node.links.call_all({a: (a, "reg.beat", beat) for a in regs}, now() + BEAT_CORE)
+        told = await self.node.links.answers(
+            {a: (a, "reg.beat", beat) for a in regs}, now() + BEAT_CORE
+        )
+        self.learn_nodes([t["nodes"] for t in told.values() if t.get("nodes")])
+
+    def learn_nodes(self, told):
+        """Before the first list: who beats to the registries, as a stand-in that is stale from the
+        beginning. Told by several, the one that knows the most counts."""
+        if told and not self.walker.lists.seq:
+            self.told_nodes_of_beats = True
+            self.walker.listed(LoadList(), by_service(max(told, key=len)))
 
     def measure(self):
         at = now()
@@ -134,7 +153,7 @@
 
     @handlers.on("load.ask")
     async def on_ask(self, peer, _):
-        if self.walker.ways is None or self.node.stopping:
+        if self.walker.ways is None or self.out:
             return {}
         return self.measure()
 
@@ -146,14 +165,7 @@
             raise Shed("old_epoch", epoch=lists.epoch)
         if (told["epoch"], told["seq"]) <= (lists.epoch, lists.seq):
             return {}
-        found = {}
-        for address, services in told["nodes"].items():
-            for service, facts in services.items():
-                found.setdefault(service, []).append(Node(address, *facts))
-        self.walker.listed(
-            LoadList(told["epoch"], told["seq"], now()),
-            {service: tuple(nodes) for service, nodes in found.items()},
-        )
+        self.walker.listed(LoadList(told["epoch"], told["seq"], now()), by_service(told["nodes"]))
         return {}
 
     # ------------------------------------------------------------ endpoints
@@ -468,6 +480,15 @@
 }
 
 
+def by_service(nodes):
+    """{address: {service: facts}} as {service: nodes}."""
+    found = {}
+    for address, services in nodes.items():
+        for service, facts in services.items():
+            found.setdefault(service, []).append(Node(address, *facts))
+    return {service: tuple(told) for service, told in found.items()}
+
+
 def said(denied):
     return Reply(denied.status, {"code": denied.code, "detail": denied.detail})
 
--- a/packages/mdproxy/mdproxy/tries.py
+++ b/packages/mdproxy/mdproxy/tries.py
@@ -35,7 +35,7 @@
 
     def shared_by(self, nodes):
         """So many nodes share the fleet's reserve now."""
-        self.reserve = self.fleet_reserve // nodes or 1
+        self.reserve = self.fleet_reserve / nodes
 
     def after(self, former):
         """Under new bounds, with what was counted so far."""
--- a/packages/mdreg/mdreg/part.py
+++ b/packages/mdreg/mdreg/part.py
@@ -9,12 +9,25 @@
 from mdwire import Breakdown, Handlers, Shed
 
 BEAT = 500 * MILLI
-ALIVE = 2 * SECOND
-SETTLE = SECOND  # a duty is claimed once this node was its owner for so long
+ALIVE = 1_250 * MILLI  # two beats missed
+SETTLE = 500 * MILLI  # a duty is claimed once this node was its owner for so long
 INTERVAL = 500 * MILLI  # until a manifest tells another
 COLLECTOR = "collector"
 
 
+def services_of(beat):
+    """{service: [rho, incarnation, draining, zone]} of a proxy's beat."""
+    return {
+        e["service"]: [
+            min(1.0, e["in_flight"] / max(1, e["capacity"])),
+            e["incarnation"],
+            e["draining"],
+            beat["hall"],
+        ]
+        for e in beat["endpoints"]
+    }
+
+
 class Part(mdnode.Part):
     """Invariants: roster and regs hold the newest beat of each address; epoch is not None iff
     this process holds the collector's duty, under that epoch; seq goes up within an epoch."""
@@ -65,7 +78,15 @@
             self.learn_epoch(beat["seen_epoch"])
         elif beat["interval_us"]:
             self.interval = max(self.interval, (beat["version"], beat["interval_us"]))
-        return {}
+        return {"nodes": self.nodes()} if beat.get("listless") else {}
+
+    def nodes(self):
+        """What the beats tell of the proxies' endpoints, in the shape of a load list."""
+        return {
+            address: services
+            for address in self.alive(self.roster)
+            if (services := services_of(self.roster[address][0]))
+        }
 
     def learn_epoch(self, epoch):
         self.seen_epoch = max(self.seen_epoch, epoch)
