--- a/packages/mdfleet/mdfleet/__main__.py
+++ b/packages/mdfleet/mdfleet/__main__.py
@@ -10,7 +10,7 @@
 import fire
 
 from mdboot import VERSION
-from mdfleet.fleet import Fleet, load_topology
+from mdfleet.fleet import Fleet, Taken, load_topology
 from mdfleet.measure import large_change, measure, overload
 from mdfleet.report import summary, table
 
@@ -80,7 +80,11 @@
     if sys.argv[1:] == ["--version"]:
         print(f"mdfleet {VERSION}")
         return
-    fire.Fire(Commands, name="mdfleet")
+    try:
+        fire.Fire(Commands, name="mdfleet")
+    except Taken as taken:
+        print(f"mdfleet: {taken}; is a fleet up already? Nothing was started.", file=sys.stderr)
+        sys.exit(1)
 
 
 if __name__ == "__main__":
--- a/packages/mdfleet/mdfleet/fleet.py
+++ b/packages/mdfleet/mdfleet/fleet.py
@@ -8,6 +8,7 @@
 import secrets
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -20,6 +21,15 @@
 HERE = os.path.join(os.path.dirname(__file__), "topologies")
 
 
+CORE_PORTS, PORTS = (7410, 7411, 7420, 7421), (7400, 7401, 8000)
+
+
+class Taken(Exception):
+    def __init__(self, addresses):
+        first = ", ".join(addresses[:3]) + (" ..." if len(addresses) > 3 else "")
+        super().__init__(f"somebody listens on {len(addresses)} of its addresses: {first}")
+
+
 @dataclass
 class Process:
     name: str
@@ -111,7 +121,22 @@
         handle = self.spawn(name, ["mdfleet.standin", json.dumps(spec)], subprocess.PIPE)
         return name, handle
 
+    def taken(self):
+        """Addresses of this deployment that somebody listens on already."""
+        ports = {**dict.fromkeys(self.core, CORE_PORTS), **dict.fromkeys(self.application, PORTS)}
+        found = []
+        for host, wanted in ports.items():
+            for port in wanted:
+                try:
+                    socket.create_server((host, port)).close()
+                except OSError:
+                    found.append(f"{host}:{port}")
+        return found
+
     def up(self):
+        taken = self.taken()
+        if taken:  # told before anything is started, or removed from the folder
+            raise Taken(taken)
         shutil.rmtree(self.folder, ignore_errors=True)
         for part in ("boot", "logs", "data", "again"):
             os.makedirs(os.path.join(self.folder, part))
--- /dev/null
+++ b/tests/test_gate_rules.py
@@ -0,0 +1,782 @@
+"""The rules that the traffic path adds to the paper's, as docs/design.md states them."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+from gates import LIMITS, SEEDS, all_done, asked, busy, gate_of, gated, items
+from test_items import route, service
+
+from mdgate.callers import KEEP_S, KEPT
+from mdload import LoadList, Node
+from mdseam import MILLI, SECOND, Address, now, rest
+
+TRIES = {"ratio": 1.0, "window_us": SECOND, "reserve": 100}
+LOW = route("low", prefix="/low/", priority=3, aim_us=SECOND)
+HIGH = route("high", prefix="/high/", priority=0, aim_us=SECOND)
+LONG = route("long", prefix="/long/", timeout_us=20 * SECOND)
+
+
+def hosts(world):
+    return list(world.application)
+
+
+def hold(world):
+    """From here on the load and the lists are the test's own."""
+    for host in hosts(world):
+        part = world.part("mdproxy", host)
+        part.book.measure = lambda at, share: {}
+        part.walker.listed = lambda lists, told: None
+
+
+def address_of(host):
+    return f"{host}:7401"
+
+
+def line_of(world, host, rho, **facts):
+    end = world.ends[host]
+    return Node(address_of(host), rho, end.instance.decode(), False, world.halls[host], **facts)
+
+
+def tell(world, host, rhos):
+    """The gate's newest list of desk: {host: rho}."""
+    gate = gate_of(world, host)
+    told = tuple(line_of(world, other, rho) for other, rho in rhos.items())
+    gate.listed(LoadList(gate.lists.epoch, gate.lists.seq, now()), {"desk": told})
+    gate.reactor.end_turn()
+
+
+def between(world, host):
+    """An occupation that is neither accepting nor offloading."""
+    load = gate_of(world, host).load
+    return (load["phi"] + load["omega"]) / 2
+
+
+def ran_at(world, made):
+    """The hosts that ran a call."""
+    host_of = {end.instance: host for host, end in world.ends.items()}
+    return [host_of[ran.instance] for ran in world.ledger.runs(made.id)]
+
+
+async def batch(world, host, count):
+    """Who ran each of so many calls, one after the other."""
+    calls = [await asked(world, host) for _ in range(count)]
+    assert {made.status for made in calls} == {200}
+    return [ran_at(world, made)[0] for made in calls]
+
+
+async def occupied(world, host, at, count=1):
+    """Calls that hold slots of the endpoint at this host."""
+    calls = [(await world.caller(host)).ask(b"/long/%d" % n, due_ms=None) for n in range(count)]
+    await rest(at)
+    return calls
+
+
+def works(**by_first):
+    """work_us by the first part of a call's path, in milliseconds."""
+    return lambda job: by_first.get(job.target.split(b"/")[1].decode(), 10) * MILLI
+
+
+# ---------------------------------------------------------------- zones
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_call_without_a_home_goes_round_the_accepting_nodes_of_its_zone(seed):
+    async def scenario(world):
+        guest, *ends = hosts(world)
+        told = gate_of(world, guest).told_nodes["desk"]
+        assert {n.address: n.zone for n in told} == {address_of(h): world.halls[h] for h in ends}
+        near = [h for h in ends if world.halls[h] == world.halls[guest]]
+        assert len(near) == 2 < len(ends)
+        hold(world)
+        tell(world, guest, dict.fromkeys(ends, 0.1))
+        ran = await batch(world, guest, 6)
+        assert set(ran[:2]) == set(near) and ran[:2] == ran[2:4] == ran[4:]
+        # one of them accepts no more, then both
+        tell(world, guest, dict.fromkeys(ends, 0.1) | {near[0]: between(world, guest)})
+        assert await batch(world, guest, 3) == [near[1]] * 3
+        tell(world, guest, dict.fromkeys(ends, 0.1) | dict.fromkeys(near, between(world, guest)))
+        far = set(ends) - set(near)
+        ran = await batch(world, guest, 2 * len(far))
+        assert set(ran[: len(far)]) == far and ran[: len(far)] == ran[len(far) :]
+
+    gated(scenario, seed, application=("", *("desk",) * 6))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_call_with_a_home_is_sent_away_whatever_the_zone(seed):
+    async def scenario(world):
+        home, *others = hosts(world)
+        assert len({world.halls[h] for h in others}) == 3
+        hold(world)
+        busy(world, home, gate_of(world, home).load["omega"])
+        tell(world, home, dict.fromkeys(others, 0.1))
+        ran = await batch(world, home, 2 * len(others))
+        assert set(ran[: len(others)]) == set(others)
+        assert ran[: len(others)] == ran[len(others) :]
+
+    gated(scenario, seed, application=("desk",) * 5)
+
+
+# ---------------------------------------------------------------- no room at home
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_full_home_with_nobody_accepting_gives_a_call_to_a_neighbour_with_a_free_slot(seed):
+    async def scenario(world):
+        home, other = hosts(world)
+        hold(world)
+        held = await occupied(world, home, 30 * MILLI)
+        gate = gate_of(world, home)
+        for rho in (between(world, home), (1 + gate.load["omega"]) / 2):
+            tell(world, home, {other: rho})
+            at = now()
+            made = await asked(world, home, target=b"/once/x")
+            assert made.status == 200 and ran_at(world, made) == [other]
+            assert world.ledger.runs(made.id)[0].begun - at < 20 * MILLI
+        assert gate.counts["rule.full-any-room"] == 2 and "desk" not in gate.lines
+        # below 1 no more: it waits at home
+        tell(world, home, {other: 1.0})
+        made = (await world.caller(home)).ask(b"/once/y")
+        await rest(30 * MILLI)
+        assert len(gate.lines["desk"]) == 1 and not ran_at(world, made)
+        await all_done([made, *held])
+        assert made.status == 200 and ran_at(world, made) == [home]
+
+    gated(
+        scenario,
+        seed,
+        application=("desk", "desk"),
+        items=items(LONG),
+        endpoint={"slots": 1, "work_us": works(long=1000)},
+    )
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_neighbour_below_1_without_a_free_slot_refuses_and_the_call_waits_at_home(seed):
+    async def scenario(world):
+        home, other = hosts(world)
+        hold(world)
+        held = [await occupied(world, host, 10 * MILLI) for host in (home, other)]
+        tell(world, home, {other: between(world, home)})
+        made = (await world.caller(home)).ask(b"/once/y")
+        await rest(30 * MILLI)
+        gate = gate_of(world, home)
+        assert gate.counts["spill.refused.busy"] == 1 and len(gate.lines["desk"]) == 1
+        await all_done([made, *held[0], *held[1]])
+        assert made.status == 200 and ran_at(world, made) == [home]
+
+    gated(
+        scenario,
+        seed,
+        application=("desk", "desk"),
+        items=items(LONG),
+        endpoint={"slots": 1, "work_us": works(long=500)},
+    )
+
+
+# ---------------------------------------------------------------- slowness
+
+
+@pytest.mark.parametrize(
+    ("own", "fleet", "index"),
+    [(100, 100, 1.0), (50, 100, 1.0), (150, 100, 2.25), (190, 100, 3.61), (900, 100, 4.0)],
+)
+def test_the_index_grows_with_the_square_of_the_slowness_up_to_four(own, fleet, index):
+    async def scenario(world):
+        host = hosts(world)[0]
+        hold(world)
+        gate = gate_of(world, host)
+        assert gate.slowness("paper", now()) == 1.0  # nobody knows anything
+        gate.slot_us["desk"], gate.fleet_us["desk"] = own * MILLI, fleet * MILLI
+        assert gate.slowness("desk", now()) == pytest.approx(index)
+        world.ends[host].left = True  # no beats but the test's own
+        world.beat(host, world.ends[host], 1000, warm_us=300 * MILLI)
+        assert gate.slowness("desk", now()) == pytest.approx(max(1.5, index))
+        await rest(350 * MILLI)
+        assert gate.slowness("desk", now()) == pytest.approx(index)
+
+    gated(scenario, application=("desk",))
+
+
+async def level(world, told, over):
+    """Each endpoint says that it is so full, until over is set."""
+    while not over.is_set():
+        for host in hosts(world):
+            for endpoint in world.part("mdproxy", host).book.by_address.values():
+                endpoint.told, endpoint.told_at = told[0], now()
+        await rest(50 * MILLI)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_slow_node_sheds_its_calls_at_a_level_at_which_others_keep_them(seed):
+    async def scenario(world):
+        slow, *others = hosts(world)
+        for end in world.ends.values():
+            end.load_told = False
+        told, over = [0.1], trio.Event()
+        world.nursery.start_soon(level, world, told, over)
+        rho_of = {n.address: n.rho for n in gate_of(world, others[0]).told_nodes["desk"]}
+
+        async def rounds(count):
+            for _ in range(count):
+                for host in hosts(world):
+                    await asked(world, host)
+
+        async def kept(host):
+            ran = await batch(world, host, 4)
+            return ran.count(host)
+
+        await rounds(30)
+        told[0] = 0.5
+        await rest(SECOND)
+        assert [await kept(host) for host in hosts(world)] == [4, 4, 4]
+        told[0] = 0.1
+        world.ends[slow].work_us = 100 * MILLI
+        await rounds(30)
+        told[0] = 0.5
+        await rest(SECOND)
+        rho_of = {n.address: n.rho for n in gate_of(world, others[0]).told_nodes["desk"]}
+        assert rho_of[address_of(slow)] > 0.8
+        assert all(rho_of[address_of(h)] == pytest.approx(0.5) for h in others)
+        assert [await kept(host) for host in hosts(world)] == [0, 4, 4]
+        # fast again
+        told[0] = 0.1
+        world.ends[slow].work_us = 50 * MILLI
+        await rounds(40)
+        told[0] = 0.5
+        await rest(SECOND)
+        assert [await kept(host) for host in hosts(world)] == [4, 4, 4]
+        over.set()
+
+    gated(scenario, seed, endpoint={"work_us": 50 * MILLI})
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_cold_node_sheds_its_calls_until_it_is_warm(seed):
+    async def scenario(world):
+        cold, *others = hosts(world)
+        for end in world.ends.values():
+            end.load_told = False
+        told, over = [0.6], trio.Event()
+        world.nursery.start_soon(level, world, told, over)
+        end, until_warm = world.ends[cold], now() + 2 * SECOND
+        end.left = True  # no beats but the test's own
+
+        async def beats():
+            sequence = 1000
+            while not over.is_set():
+                sequence += 1
+                world.beat(cold, end, sequence, warm_us=max(0, until_warm - now()))
+                await rest(300 * MILLI)
+
+        world.nursery.start_soon(beats)
+        await rest(SECOND)
+        ran = await batch(world, cold, 4)
+        assert cold not in ran
+        await rest(until_warm - now() + SECOND)
+        assert await batch(world, cold, 4) == [cold] * 4
+        over.set()
+
+    gated(scenario, seed)
+
+
+# ---------------------------------------------------------------- the line
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_line_at_a_neighbour_is_ordered_by_rank(seed):
+    async def scenario(world):
+        guest, there = hosts(world)
+        first, *callers = [await world.caller(guest) for _ in range(5)]
+        calls = [first.ask(b"/p/0")]
+        await rest(20 * MILLI)
+        for target, caller in zip((b"/low/0", b"/low/1", b"/p/1", b"/p/2"), callers, strict=True):
+            calls.append(caller.ask(target))
+            await rest(8 * MILLI)
+        assert len(gate_of(world, there).lines["desk"]) == 4
+        assert not gate_of(world, guest).lines.get("desk")
+        await all_done(calls)
+        assert {made.status for made in calls} == {200}
+        order = [ran.target for ran in world.ends[there].journal]
+        assert order == [b"/p/0", b"/p/1", b"/p/2", b"/low/0", b"/low/1"]
+
+    gated(
+        scenario,
+        seed,
+        application=("", "desk"),
+        items=items(route("low", prefix="/low/", priority=3)),
+        endpoint={"slots": 1, "work_us": 100 * MILLI},
+    )
+
+
+@pytest.mark.parametrize("away", (False, True))
+@pytest.mark.parametrize(
+    ("mean_ms", "low", "high"), [(290, 200, 200), (310, 503, 200), (590, 503, 200), (610, 503, 503)]
+)
+def test_a_call_joins_a_line_only_if_it_will_likely_be_served_early(mean_ms, low, high, away):
+    """Within 0.3 of the aim (1 s) at the lowest rank, 0.6 above; else it is told at once."""
+
+    async def scenario(world):
+        guest, there = hosts(world)
+        gate = gate_of(world, there)
+        for target, wanted in ((b"/low/x", low), (b"/high/x", high)):
+            held = await occupied(world, there, 50 * MILLI)
+            gate.slot_us["desk"] = mean_ms * MILLI
+            made = await asked(world, guest if away else there, target=target)
+            assert made.status == wanted
+            if wanted == 503:
+                assert made.took < 20 * MILLI and not ran_at(world, made)
+                again = float(made.line(b"Retry-After"))
+                assert again == pytest.approx(min(mean_ms / 1000, 0.5), abs=0.02)
+            await all_done(held)
+
+    gated(
+        scenario,
+        application=("", "desk"),
+        items=items(LOW, HIGH, LONG),
+        endpoint={"slots": 1, "work_us": works(long=300)},
+    )
+
+
+@pytest.mark.parametrize("away", (False, True))
+def test_a_call_leaves_the_line_when_it_cannot_be_served_in_time_any_more(away):
+    async def scenario(world):
+        guest, there = hosts(world)
+        held = await occupied(world, there, 50 * MILLI)
+        gate = gate_of(world, there)
+        gate.slot_us["desk"] = 500 * MILLI
+        made = (await world.caller(guest if away else there)).ask(b"/high/x", due_ms=1000)
+        await rest(100 * MILLI)
+        assert len(gate.lines["desk"]) == 1
+        await made.done.wait()
+        assert made.status == 503 and made.line(b"Retry-After")
+        assert 460 * MILLI < made.took < 520 * MILLI
+        assert not len(gate.lines["desk"])
+        await all_done(held)
+
+    gated(
+        scenario,
+        application=("", "desk"),
+        items=items(LOW, HIGH, LONG),
+        endpoint={"slots": 1, "work_us": works(long=3000)},
+    )
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_at_most_two_neighbours_are_asked_to_let_a_call_wait(seed):
+    async def scenario(world):
+        guest, *ends = hosts(world)
+        held = []
+        for host in ends:
+            held += await occupied(world, host, 10 * MILLI)
+            gate_of(world, host).slot_us["desk"] = 900 * MILLI
+        gate, sent = gate_of(world, guest), []
+        spill = gate.spill
+
+        def noted(call, node, waits=False):
+            sent.append((node.address, waits))
+            return spill(call, node, waits)
+
+        gate.spill = noted
+        made = await asked(world, guest, target=b"/once/x")
+        assert made.status == 503 and made.took < 50 * MILLI and made.line(b"Retry-After")
+        waits = [address for address, may_wait in sent if may_wait]
+        assert len(waits) == len(set(waits)) == 2 and len(sent) <= 5
+        await all_done(held)
+
+    gated(
+        scenario,
+        seed,
+        application=("", *("desk",) * 5),
+        items=items(LONG),
+        endpoint={"slots": 1, "work_us": works(long=1000)},
+    )
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_neighbours_call_in_line_is_not_spilled_again_and_not_run_when_its_endpoint_leaves(seed):
+    async def scenario(world):
+        guest, full, free = hosts(world)
+        hold(world)
+        held = await occupied(world, full, 50 * MILLI)
+        tell(world, guest, {full: 0.1})
+        tell(world, full, {free: 1.0})
+        made = (await world.caller(guest)).ask(b"/once/x")
+        await rest(50 * MILLI)
+        there = gate_of(world, full)
+        assert len(there.lines["desk"]) == 1
+        tell(world, full, {free: 0.1})  # its own calls would go there
+        await rest(50 * MILLI)
+        assert len(there.lines["desk"]) == 1 and not ran_at(world, made)
+        tell(world, guest, {full: 0.1, free: 0.1})
+        world.ends[full].left = True
+        part, at = world.part("mdproxy", full), now()
+        part.endpoint_leave(world.ends[full].instance.decode())
+        await made.done.wait()
+        assert made.status == 200 and ran_at(world, made) == [free]
+        assert now() - at < 50 * MILLI
+        assert "spilled" not in there.counts
+        assert gate_of(world, guest).counts["spill.refused.gone"] == 1
+        await all_done(held)
+
+    gated(
+        scenario,
+        seed,
+        application=("", "desk", "desk"),
+        items=items(LONG),
+        endpoint={"slots": 1, "work_us": works(long=1500)},
+    )
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_of_two_that_are_placed_anew_in_one_turn_one_may_make_room_for_the_other(seed):
+    async def scenario(world):
+        home, other = hosts(world)
+        hold(world)
+        tell(world, home, {other: 1.0})
+        held = await occupied(world, home, 50 * MILLI)
+        calls = []
+        for n in range(2):
+            calls.append((await world.caller(home)).ask(b"/once/%d" % n))
+        await rest(20 * MILLI)
+        gate, book = gate_of(world, home), world.part("mdproxy", home).book
+        line, endpoint = gate.lines["desk"], book.home("desk")
+        assert len(line) == 2
+        place = gate.place
+
+        def making_room(call):
+            place(call)
+            if endpoint.capacity == 1:
+                endpoint.capacity = 2
+                book.freed("desk")
+
+        gate.place = making_room
+        tell(world, home, {other: 0.1})
+        gate.place = place
+        assert len(line) == 0 and endpoint.in_flight == 2
+        await all_done([*calls, *held])
+        assert [made.status for made in calls] == [200, 200]
+        assert [ran_at(world, made) for made in calls] == [[other], [home]]
+        assert len(line) == 0 and endpoint.in_flight == 0
+
+    gated(
+        scenario,
+        seed,
+        application=("desk", "desk"),
+        items=items(LONG),
+        endpoint={"slots": 1, "work_us": works(long=1000)},
+    )
+
+
+# ---------------------------------------------------------------- a start
+
+
+def health(world, host, status, slots=b"0,0,4"):
+    """The endpoint's answer to a health call, in its process."""
+    end = world.ends[host]
+    lines = [(b"md-incarnation", end.instance)] + ([(b"md-load", slots)] if slots else [])
+
+    async def app(scope, receive, send):
+        assert scope["path"] == "/health"
+        await send({"type": "http.response.start", "status": status, "headers": lines})
+        await send({"type": "http.response.body", "body": b"{}"})
+
+    world.web.apps[Address(end.address)] = (app, end.process.net)
+
+
+BESIDE = {
+    "application": ("desk",),
+    "items": [service("desk", health="/health"), *items()[1:]],
+    "app": "10.0.1.1:8000",
+    "beat_us": 2 * SECOND,
+}
+
+
+async def begun_anew(world, host):
+    world.ends[host].left = True  # no beats but the test's own
+    world.kill(f"mdproxy@{host}")
+    await rest(100 * MILLI)
+    await world.start("mdproxy", host)
+    return world.part("mdproxy", host)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_node_that_restarts_asks_the_endpoint_beside_and_serves_before_its_next_beat(seed):
+    async def scenario(world):
+        host = hosts(world)[0]
+        end = world.ends[host]
+        health(world, host, 200)
+        part = await begun_anew(world, host)
+        began = now()
+        await world.eventually(lambda: part.book.by_address, within=500 * MILLI)
+        endpoint = part.book.by_address[end.address]
+        assert (endpoint.incarnation, endpoint.capacity) == (end.instance.decode(), 4)
+        made = await asked(world, host, target=b"/once/x")
+        assert made.status == 200
+        pool = gate_of(world, host).pools[id(endpoint)]
+        await rest(SECOND - (now() - began))
+        enrolled = len(world.trace.events(401))
+        world.beat(host, end, 1000, capacity=3)
+        assert part.book.by_address[end.address] is endpoint and endpoint.capacity == 3
+        assert len(world.trace.events(401)) == enrolled
+        made = await asked(world, host, target=b"/once/y")
+        assert made.status == 200 and gate_of(world, host).pools == {id(endpoint): pool}
+
+    gated(scenario, seed, **BESIDE)
+
+
+@pytest.mark.parametrize("case", ("unwell", "left", "no slots", "none", "no number"))
+def test_who_is_not_well_has_left_or_tells_no_slots_is_not_used(case):
+    async def scenario(world):
+        host = hosts(world)[0]
+        slots = {"no slots": b"", "none": b"0,0,0", "no number": b"0,0,many"}.get(case, b"0,0,4")
+        health(world, host, 503 if case == "unwell" else 200, slots)
+        part = await begun_anew(world, host)
+        if case == "left":
+            part.endpoint_leave(world.ends[host].instance.decode())
+        found = part.found_beside
+        answers = []
+        part.found_beside = lambda *facts: (answers.append(facts), found(*facts))
+        await world.eventually(lambda: not part.not_ready())
+        await rest(SECOND)
+        assert answers and not part.book.by_address
+        made = await asked(world, host)
+        assert made.status == 503 and not ran_at(world, made)
+
+    gated(scenario, **BESIDE)
+
+
+def test_without_a_list_a_fresh_node_knows_the_others_from_beats_until_the_first_list():
+    async def scenario(world):
+        guest, *ends = hosts(world)
+        reg = world.part("mdreg", world.core[0])
+        collect = reg.collect
+
+        async def nothing():
+            await trio.lowlevel.checkpoint()
+
+        reg.collect = nothing
+        world.kill(f"mdproxy@{guest}")
+        await rest(100 * MILLI)
+        began = now()
+        await world.start("mdproxy", guest)
+        walker, gate = world.part("mdproxy", guest).walker, gate_of(world, guest)
+        wanted = {address_of(h) for h in ends}
+        await world.eventually(
+            lambda: {n.address for n in gate.told_nodes.get("desk", ())} == wanted
+        )
+        assert now() - began < 500 * MILLI and walker.lists.seq == 0
+        assert walker.lists.stale(now(), 1 << 60)
+        await world.eventually(lambda: not world.node("mdproxy", guest).not_ready())
+        assert walker.lists.seq == 0
+        assert set(await batch(world, guest, 4)) <= set(ends)
+        # what it knows is not told again; what is more, is
+        assert reg.stand_in(len(ends)) == {} == reg.stand_in(None)
+        assert set(reg.stand_in(0)["nodes"]) == wanted
+        # a real list replaces it
+        reg.collect = collect
+        await world.eventually(lambda: walker.lists.seq)
+        real = gate.told_nodes
+        assert {n.address for n in real["desk"]} == wanted
+        # and none comes after one
+        part = world.part("mdproxy", guest)
+        part.learn_nodes([{"10.9.9.9:7401": {"desk": [0.0, "x", False, "b"]}}] * 3)
+        assert gate.told_nodes is real
+
+    gated(scenario, application=("", "desk", "desk"))
+
+
+# ---------------------------------------------------------------- links
+
+
+async def steady(world, host, calls, over, every=20 * MILLI):
+    """A call each 20 ms, each on a connection of its own."""
+    while not over.is_set():
+        caller = await world.caller(host)
+        calls.append(caller.ask(b"/p/x"))
+        await rest(every)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("how", ("cut", "killed"))
+def test_no_call_waits_for_a_link_and_it_is_used_again_within_a_second(seed, how):
+    async def scenario(world):
+        await rest(2 * TRIES["window_us"])  # the reserve of second tries is there
+        guest, bad, good = hosts(world)
+        gate, calls, over = gate_of(world, guest), [], trio.Event()
+        link = gate.gate_of(address_of(bad))
+        world.nursery.start_soon(steady, world, guest, calls, over)
+        await rest(300 * MILLI)
+        if how == "cut":
+            world.web.cut(guest, bad)
+        else:
+            world.kill(f"mdproxy@{bad}")
+        await world.eventually(lambda: link in gate.peers.quiet_until)
+        broke = now()
+        dialled = []
+
+        async def watch():
+            while not over.is_set():
+                dialled.append(link in gate.peers.outgoing)
+                await rest(10 * MILLI)
+
+        world.nursery.start_soon(watch)
+        await rest(2500 * MILLI)
+        if how == "cut":
+            world.web.heal()
+        else:
+            await world.start("mdproxy", bad)
+            await world.eventually(lambda: world.part("mdproxy", bad).book.by_address)
+            await world.eventually(
+                lambda: address_of(bad) in {n.address for n in gate.told_nodes["desk"]}
+            )
+        back = now()
+        await rest(1500 * MILLI)
+        over.set()
+        await all_done(calls)
+        assert {made.status for made in calls} == {200}
+        later = [made for made in calls if made.at > broke]
+        assert len(later) > 150 and max(made.took for made in later) < 60 * MILLI
+        assert {ran_at(world, made)[0] for made in later if made.at < back} >= {good}
+        assert how != "cut" or any(dialled)  # proved by itself, though no call went there
+        again = [ran.begun for ran in world.ends[bad].journal if ran.begun > back]
+        assert again and again[0] - back < SECOND
+
+    gated(
+        scenario,
+        seed,
+        application=("", "desk", "desk"),
+        tries=TRIES,
+        endpoint={"slots": 20},
+    )
+
+
+# ---------------------------------------------------------------- stops
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_stopping_node_stays_on_the_list_while_its_doors_are_open(seed):
+    async def scenario(world):
+        guest, home = hosts(world)
+        held = await occupied(world, home, 50 * MILLI)
+        part, reg = world.part("mdproxy", home), world.part("mdreg", world.core[0])
+        seen, ended = [], trio.Event()
+
+        async def watch():
+            while not ended.is_set():
+                listed = address_of(home) in {
+                    n.address for n in gate_of(world, guest).told_nodes.get("desk", ())
+                }
+                on_roster = address_of(home) in reg.roster
+                seen.append((part.node.stopping, part.closing.is_set(), on_roster, listed))
+                await rest(5 * MILLI)
+
+        world.nursery.start_soon(watch)
+        made = []
+
+        async def calls():
+            for _ in range(10):
+                made.append(await asked(world, guest, target=b"/once/x"))
+                await rest(20 * MILLI)
+
+        world.nursery.start_soon(calls)
+        await world.stop(f"mdproxy@{home}")
+        ended.set()
+        await rest(2 * SECOND)
+        stopping = [(listed, roster) for s, shut, roster, listed in seen if s and not shut]
+        closed = [roster for s, shut, roster, _ in seen if shut]
+        assert stopping and stopping[0] == (True, True)
+        assert stopping[-1][1] is False  # told just before the doors close
+        assert closed and not any(closed)
+        assert held[0].status == 200
+        assert {m.status for m in made} <= {200, 503} and made[0].status == 200
+
+    gated(
+        scenario,
+        seed,
+        application=("", "desk"),
+        items=items(LONG),
+        endpoint={"slots": 4, "work_us": works(long=800)},
+    )
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_roll_of_all_nodes_loses_no_call_and_runs_none_twice(seed):
+    async def scenario(world):
+        calls, over = [], trio.Event()
+
+        async def one(host, n):
+            caller = None
+            while not over.is_set():
+                if caller is None or caller.failed or caller.wire.closed or caller.closed_at:
+                    caller = await world.caller(host)
+                    if caller.failed:
+                        await rest(30 * MILLI)
+                        continue
+                target = (b"/once/%d", b"/p/%d")[n % 2] % len(calls)
+                made = caller.ask(target, b"POST")
+                calls.append(made)
+                await made.done.wait()
+                if made.line(b"Connection") == b"close":
+                    caller = None
+                await rest(5 * MILLI)
+
+        for host in hosts(world):
+            for n in range(4):
+                world.nursery.start_soon(one, host, n)
+        await rest(300 * MILLI)
+        for host in hosts(world):
+            await world.stop(f"mdproxy@{host}")
+            await world.start("mdproxy", host)
+            await world.eventually(lambda h=host: not world.node("mdproxy", h).not_ready())
+            await rest(SECOND)
+        over.set()
+        await rest(3 * SECOND)
+        assert all(made.done.is_set() for made in calls) and len(calls) > 1000
+        told = {status: [m for m in calls if m.status == status] for status in {200, 503, 0}}
+        assert sum(map(len, told.values())) == len(calls), {m.status for m in calls}
+        assert not any(world.ledger.runs(m.id) for m in told[503] + told[0])
+        assert len(told[503]) + len(told[0]) < len(calls) / 50
+        assert all(len(world.ledger.runs(m.id)) == 1 for m in told[200])
+
+    gated(scenario, seed, application=("", "desk", "desk", "desk"), endpoint={"slots": 20})
+
+
+# ---------------------------------------------------------------- idle connections
+
+
+def test_how_long_a_connection_is_kept_is_told_and_held_and_none_under_way_is_closed():
+    patient = {**LIMITS, "spec": {**LIMITS["spec"], "idle_us": 60 * SECOND}}
+
+    async def scenario(world):
+        host = hosts(world)[0]
+        used, never, long = [await world.caller(host) for _ in range(3)]
+        under_way = long.ask(b"/long/x", due_ms=None)
+        for target, status in ((b"/p/x", 200), (b"/p/x", 200), (b"/none", 404)):
+            made = used.ask(target)
+            await made.done.wait()
+            assert made.status == status
+            assert made.line(b"Keep-Alive") == b"timeout=%d" % KEEP_S
+        # used again within what was told, it stays
+        for _ in range(3):
+            await rest(KEEP_S * SECOND - 10 * MILLI)
+            made = used.ask()
+            await made.done.wait()
+            assert made.status == 200
+        last = now()
+        await rest(KEEP_S * SECOND)
+        assert not used.closed_at
+        await rest(KEPT - KEEP_S * SECOND + 300 * MILLI)
+        assert KEPT <= used.closed_at - last < KEPT + 300 * MILLI
+        assert not under_way.done.is_set() and not never.closed_at
+        await under_way.done.wait()
+        assert under_way.status == 200 and not long.closed_at
+        assert under_way.took > 2 * KEPT
+
+    gated(
+        scenario,
+        application=("desk",),
+        items=[*(i for i in items(LONG) if i["kind"] != "limits"), patient],
+        endpoint={"work_us": works(long=16_000)},
+    )
