--- a/tests/test_gate_rules.py
+++ b/tests/test_gate_rules.py
@@ -217,7 +217,6 @@
             end.load_told = False
         told, over = [0.1], trio.Event()
         world.nursery.start_soon(level, world, told, over)
-        rho_of = {n.address: n.rho for n in gate_of(world, others[0]).told_nodes["desk"]}
 
         async def rounds(count):
             for _ in range(count):
