Waits estimated by rank; work that will be late goes behind work that won't

Cause: the estimate of a wait counted on all slots, though calls of higher ranks come later and overtake; and a call kept its place until long after its aim could be met. The queue stood and the lowest rank ended late. Now: the slots that greater urgencies hold are not counted on (Cobham's queue with priorities); a call joins if it will likely end in its aim from its turn, and loses its place once it can't; what will be late, second tries among it, goes behind what won't. A call's aim counts from its caller's first try, as far as its deadline tells.

--- /dev/null
+++ b/packages/mdgate/mdgate/admission.py
@@ -0,0 +1,117 @@
+"""Which calls may wait for a slot here, and until when.
+
+A call joins the queue if it will likely end within its aim from there, and keeps its place while it
+can. One that can't any more goes behind all of its rank that can, and is refused once it won't have
+its turn in time: work that ends late must not take the place of work that would not.
+"""
+
+from __future__ import annotations
+
+from mdgate.call import Call
+from mdgate.patience import Patience
+from mdgate.wait_queue import WaitQueue
+from mdgate.waits import ServiceWaits, urgency_of
+
+INTERVALS = 2  # of the load list, over which the slots held by other calls are averaged
+FIRST_SPAN_US = 500_000  # until a configuration is in force
+
+
+class Admission:
+    """The queues of one node, and the estimates by which calls are let in. Times in microseconds."""
+
+    def __init__(self, patience_us: int) -> None:
+        self.patience_us = patience_us
+        self.span_us = FIRST_SPAN_US
+        self.queues: dict[str, WaitQueue] = {}
+        self.services: dict[str, ServiceWaits] = {}
+        self.routes: dict[str, Patience] = {}
+
+    def averaged_over(self, interval_us: int) -> None:
+        """The load list's interval is another one."""
+        self.span_us = INTERVALS * interval_us
+        for waits in self.services.values():
+            waits.span_us = self.span_us
+
+    def keep_routes(self, names: set[str]) -> None:
+        """Routes that are in force no more are forgotten."""
+        self.routes = {name: patience for name, patience in self.routes.items() if name in names}
+
+    def waits(self, service: str) -> ServiceWaits:
+        """The estimates for a service."""
+        found = self.services.get(service)
+        if found is None:
+            found = self.services[service] = ServiceWaits(self.span_us)
+        return found
+
+    def queue(self, service: str) -> WaitQueue:
+        """The queue of a service."""
+        found = self.queues.get(service)
+        if found is None:
+            found = self.queues[service] = WaitQueue()
+        return found
+
+    def spent(self, route: str, at: int, left_us: int) -> int:
+        """How much of its time a caller of this route has probably spent on earlier tries."""
+        patience = self.routes.get(route)
+        if patience is None:
+            patience = self.routes[route] = Patience(self.patience_us)
+        return patience.spent(at, left_us)
+
+    # ------------------------------------------------------------ slots
+
+    def hold_us(self, call: Call) -> int:
+        """How long the call will hold a slot, in the mean."""
+        return self.waits(call.service).hold(call.rank).mean_us
+
+    def started(self, call: Call, at: int) -> None:
+        """The call takes a slot."""
+        self.waits(call.service).entered(call.urgency, at)
+
+    def freed(self, call: Call, at: int) -> None:
+        """The call gives its slot back."""
+        self.waits(call.service).left(call.urgency, at)
+
+    def learn(self, call: Call, took_us: int) -> None:
+        """The call was answered after holding its slot for so long."""
+        self.waits(call.service).hold(call.rank).learn(took_us)
+
+    # ------------------------------------------------------------ waiting
+
+    def rate(self, call: Call, at: int) -> None:
+        """Settle the call's urgency, as of now."""
+        call.urgency = urgency_of(call, at, self.hold_us(call))
+
+    def wait_us(self, call: Call, capacity: int, at: int) -> int:
+        """How long the call will likely wait if it joins now."""
+        waiting = self.queue(call.service).waiting
+        return self.waits(call.service).wait_us(waiting, call.urgency, capacity, at)
+
+    def may_join(self, call: Call, wait_us: int, at: int) -> bool:
+        """Whether it is worth its while to wait so long."""
+        start = at + wait_us
+        if start > call.join_due:
+            return False
+        if call.urgency % 2:  # it will be late anyhow
+            return True
+        likely_us = self.waits(call.service).hold(call.rank).likely_us
+        return start + likely_us <= call.aim_due or self.tight(call, likely_us, start)
+
+    def tight(self, call: Call, likely_us: int, start: int) -> bool:
+        """Where even a call that starts at once may miss its aim, the mean decides."""
+        return (
+            call.arrived_at + likely_us > call.aim_due
+            and start + self.hold_us(call) <= call.aim_due
+        )
+
+    def place_until(self, call: Call) -> int:
+        """Until when the call keeps its place in the queue."""
+        hold_us = self.hold_us(call)
+        last = min(call.wait_due, call.due - hold_us)
+        return last if call.urgency % 2 else min(last, call.aim_due - hold_us)
+
+    def may_wait_on(self, call: Call, capacity: int, at: int) -> bool:
+        """Whether a call whose place has ended may wait among those of its rank that will be late."""
+        if call.urgency % 2 or at >= call.wait_due:
+            return False
+        call.urgency += 1
+        return at + self.wait_us(call, capacity, at) <= call.wait_due
--- a/packages/mdgate/mdgate/call.py
+++ b/packages/mdgate/mdgate/call.py
@@ -41,12 +41,15 @@
     repeatable: bool
     due: int
     early_due: int  # with nobody to serve it, it is refused by then
-    join_due: int  # it joins a line only if it will likely be served by then
+    join_due: int  # it joins a queue only if it will likely be served by then
     wait_due: int  # until then it may stand in one
     arrived_at: int = 0  # when it came to this node
     aim_due: int = 0  # an answer by then earns its full worth
     tries: int = 1  # endpoints it may be sent to
     rank: int = 0  # 0 goes first
+    urgency: int = 0  # among those that wait: by rank, then who can still end in its aim
+    place: int = 0  # in the queue where it waits
+    place_until: int = 0  # then it loses that place
     bare: bool = False  # a HEAD
     home: bool = True  # it arrived here; else a neighbour sent it
     instance: str = ""  # for a neighbour's call: the endpoint that it believes to be here
@@ -58,7 +61,7 @@
     retry_us: int = 0  # when there may be room, as far as anybody said
     endpoint: object = None
     timer: object = None
-    waiting: object = None  # the line that it stands in
+    waiting: object = None  # the queue that it stands in
     target: object = None  # the neighbour that has it
     begun: int = 0  # when it was sent to where it is now
     number: int = 0
--- a/packages/mdgate/mdgate/figures.py
+++ b/packages/mdgate/mdgate/figures.py
@@ -25,6 +25,7 @@
     in_aim: int = 0  # ended here within their aim
     late: int = 0  # ended here after it
     hold_us: int = 0  # of those ended: from their start
+    misjudged: int = 0  # let into the queue and refused from there
     refused: Counter = field(default_factory=Counter)  # reason -> calls, of callers and of peers
 
 
@@ -73,6 +74,10 @@
             figures.late += 1
         figures.hold_us += at - call.begun
 
+    def misjudged(self, call: Call) -> None:
+        """A call that was let into the queue is refused without having had its turn."""
+        self.of(call).misjudged += 1
+
     def refused(self, call: Call, code: str) -> None:
         """A call was refused, not run."""
         self.of(call).refused[code] += 1
@@ -102,5 +107,6 @@
         "in_aim": figures.in_aim,
         "late": figures.late,
         "hold_ms": figures.hold_us // MILLI // max(1, ended),
+        "misjudged": figures.misjudged,
         "refused": dict(figures.refused),
     }
--- a/packages/mdgate/mdgate/gate.py
+++ b/packages/mdgate/mdgate/gate.py
@@ -5,14 +5,15 @@
 
 from __future__ import annotations
 
-import heapq
 from dataclasses import replace
 from functools import partial
 
+from mdgate.admission import Admission
 from mdgate.call import Call, Refused, Served, Unknown
 from mdgate.callers import Caller
 from mdgate.figures import FiguresLog
 from mdgate.http import head_of
+from mdgate.invariants import Invariants
 from mdgate.outlets import Pool
 from mdgate.peers import CARRIED, Peers
 from mditems import DEFAULT_LIMITS
@@ -31,47 +32,6 @@
 TURNED_AWAY = "turned_away"  # a neighbour's word: its endpoint had it and did not run it
 
 
-class Line:
-    """Calls of one service that wait for room, here or at a neighbour. Invariants: ordered by rank,
-    then by arrival; a call in it has waiting set to it, and a timer that ends its waiting."""
-
-    def __init__(self):
-        self.heap, self.size, self.number = [], 0, 0
-
-    def __len__(self):
-        return self.size
-
-    def join(self, call):
-        self.number += 1
-        call.waiting = self
-        heapq.heappush(self.heap, (call.rank, self.number, call))
-        self.size += 1
-
-    def leave(self, call):
-        call.waiting = None
-        self.size -= 1
-
-    def first(self):
-        """The next in line, or None; it stays."""
-        while self.heap and self.heap[0][2].waiting is not self:
-            heapq.heappop(self.heap)
-        return self.heap[0][2] if self.heap else None
-
-    def ahead_of(self, rank):
-        """How many would go before one of this rank that joins now."""
-        return sum(1 for r, _, call in self.heap if r <= rank and call.waiting is self)
-
-    def in_order(self):
-        return [call for _, _, call in sorted(self.heap) if call.waiting is self]
-
-    def next(self):
-        call = self.first()
-        if call is not None:
-            heapq.heappop(self.heap)
-            self.leave(call)
-        return call
-
-
 class Gate:
     """Invariants: calls holds every call that arrived here or was taken from a neighbour and has no
     outcome yet; a call is in one place at a time: in a line, at an endpoint's pool, or on a link."""
@@ -94,11 +54,13 @@
         self.lists, self.told_nodes = LoadList(), {}
         self.accepting = {}  # (service, ceiling) -> nodes of the latest list
         self.left_out = set()  # (service, address) that had no room, until the next list
-        self.wheels, self.lines, self.pools, self.tries = {}, {}, {}, {}
+        self.wheels, self.pools, self.tries = {}, {}, {}
+        self.admission = Admission(boot.tries["window_us"])
         self.splits = {}
         self.slot_us = {}  # service -> mean time that a call holds a slot here
         self.fleet_us = {}  # the same, over all nodes of the latest list
         self.figures = FiguresLog(log)
+        self.invariants = Invariants(log)
         self.calls = set()
         self.callers = set()
         self.counts = {}
@@ -109,6 +71,10 @@
         self.table, self.load = table, load
         ranks = [r.priority for prefixes in table.routes.values() for r in prefixes.values()]
         self.lowest_rank = max(ranks, default=0)
+        self.admission.averaged_over(load["interval_us"])
+        self.admission.keep_routes(
+            {r.name for prefixes in table.routes.values() for r in prefixes.values()}
+        )
 
     @property
     def limits(self):
@@ -152,6 +118,7 @@
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
             lines.append((b"Content-Length", b"%d" % len(request.body)))
         aim = min(route.aim_us or total, total)
+        spent = self.admission.spent(route.name, at, total)
         call = Call(
             id=id,
             head=head_of(request.method, request.target, lines),
@@ -160,7 +127,7 @@
             repeatable=route.repeatable,
             due=at + total,
             arrived_at=at,
-            aim_due=at + aim,
+            aim_due=at + max(0, aim - spent),
             early_due=at + int(EARLY * aim),
             join_due=at + int((JOIN if route.priority >= self.lowest_rank else JOIN_HIGH) * aim),
             wait_due=at + max(int(WAIT * aim), total // 3),
@@ -170,6 +137,7 @@
             end=None,
         )
         call.end = caller.expect(request, call)
+        self.admission.rate(call, at)
         self.count("calls")
         self.figures.arrived(call)
         self.tries_of(service).request(at)
@@ -279,6 +247,7 @@
         call.endpoint = endpoint
         at = now()
         self.figures.started(call, at)
+        self.admission.started(call, at)
         self.book.enter(endpoint, at)
         self.pool(endpoint).run(call)
 
@@ -328,9 +297,10 @@
         at = now()
         if home is not None and home.room:
             return self.start(call, home)
-        if home is not None and at + self.ahead_us(call, home) <= call.join_due:
-            return self.join(call)
-        call.retry_us = self.ahead_us(call, home) if home is not None else call.retry_us
+        if home is not None:
+            call.retry_us = self.admission.wait_us(call, home.capacity, at)
+            if self.admission.may_join(call, call.retry_us, at):
+                return self.join(call)
         while len(call.asked) < ASKS and at < call.join_due:
             nodes = [
                 n
@@ -348,25 +318,26 @@
             return self.join(call)
         return self.give_up(call, "busy" if home is not None or call.asked else "gone")
 
-    def ahead_us(self, call, endpoint):
-        """How long a call that joins the line here now will likely stand in it."""
-        line = self.lines.get(call.service)
-        ahead = line.ahead_of(call.rank) if line is not None else 0
-        mean = self.slot_us.get(call.service, 50 * MILLI)
-        return (ahead + 1) * mean // max(1, endpoint.capacity)
-
     def join(self, call):
-        """Into the line for a slot here."""
-        line = self.lines.setdefault(call.service, Line())
+        """Into the queue for a slot here."""
         self.book.waiters.setdefault(call.service, partial(self.wake, call.service))
-        line.join(call)
-        # who could not be served in time any more gives up its place
-        call.wait_due = min(call.wait_due, call.due - self.slot_us.get(call.service, 0))
-        call.timer = self.reactor.at(call.wait_due, lambda: self.waited(call))
+        self.admission.queue(call.service).join(call)
+        call.place_until = self.admission.place_until(call)
+        call.timer = self.reactor.at(call.place_until, lambda: self.waited(call))
 
     def waited(self, call):
+        """The time of its place is over."""
         if call.waiting is not None:
             call.waiting.leave(call)
+            self.outstayed(call)
+
+    def outstayed(self, call):
+        """It lost its place: it goes behind those that can still end in their aim, or is refused."""
+        home = self.book.home(call.service)
+        if home is not None and self.admission.may_wait_on(call, home.capacity, now()):
+            self.join(call)
+        else:
+            self.figures.misjudged(call)
             self.give_up(call, "busy")
 
     def give_up(self, call, code):
@@ -381,19 +352,24 @@
     def retry_after(self, call):
         """When to come back: once those in line have probably been served, but in time."""
         left = call.due - now()
-        return max(RETRY_LEAST, min(call.retry_us or self.slot_us.get(call.service, 0), left // 4))
+        return max(RETRY_LEAST, min(call.retry_us or self.admission.hold_us(call), left // 4))
 
     def wake(self, service):
         """Room may have appeared at home: the first in line go there."""
-        line = self.lines.get(service)
-        while line is not None and len(line):
+        queue = self.admission.queue(service)
+        while len(queue):
             home = self.book.home(service)
             if home is None or not home.room:
                 break
-            call = self.unwait(line.next())
-            if call is not None:
-                self.start(call, home)
-        if line is not None and len(line) and self.book.home(service) is None:
+            call, at = self.unwait(queue.next()), now()
+            if at > call.place_until:  # its timer comes late: this process stood still
+                self.outstayed(call)
+                continue
+            self.invariants.starting(call, self.admission, at)
+            self.start(call, home)
+        home = self.book.home(service)
+        self.invariants.woken(service, len(queue), home is not None and home.room, now())
+        if len(queue) and home is None:
             self.place_waiting(service)
 
     def unwait(self, call):
@@ -404,20 +380,21 @@
 
     def place_waiting(self, service):
         """Neighbours may have room now: who is in line here and may go there, goes."""
-        line = self.lines.get(service)
-        for call in line.in_order() if line is not None else ():
-            if call.waiting is not line:
+        queue = self.admission.queue(service)
+        for call in queue.in_order():
+            if call.waiting is not queue:
                 continue  # one before it made room for it
             gone = self.book.home(service) is None
             if not call.home:  # a neighbour's call is never spilled again: its home looks further
                 if gone:
-                    line.leave(call)
+                    queue.leave(call)
+                    self.unwait(call)
                     self.finish(call, Refused("gone", 0))
                 continue
             call.tried.clear()
             call.asked.clear()
             if gone or self.decide(call)[0].kind == "spill":
-                line.leave(call)
+                queue.leave(call)
                 self.unwait(call)
                 self.place(call)
 
@@ -433,7 +410,7 @@
             for service, told in told_nodes.items()
             if (known := [n.slot_us for n in told if n.slot_us])
         }
-        for service in list(self.lines):
+        for service in list(self.admission.queues):
             self.place_waiting(service)
 
     # ------------------------------------------------------------ neighbours
@@ -451,10 +428,12 @@
         if call.instance and home.incarnation != call.instance:
             others = [e for e in self.book.of(call.service) if e.incarnation == call.instance]
             home = others[0] if others else home
-        if home.room:  # then nobody is in line
+        at = now()
+        self.admission.rate(call, at)
+        if home.room:  # then nobody is in the queue
             return self.start(call, home)
-        call.retry_us = self.ahead_us(call, home)
-        if now() + call.retry_us <= call.join_due:
+        call.retry_us = self.admission.wait_us(call, home.capacity, at)
+        if self.admission.may_join(call, call.retry_us, at):
             return self.join(call)
         return self.finish(call, Refused("busy", call.retry_us))
 
@@ -506,7 +485,9 @@
         endpoint, call.endpoint = call.endpoint, None
         self.unwait(call)
         if endpoint is not None:
-            self.book.leave_slot(endpoint, now())
+            at = now()
+            self.admission.freed(call, at)
+            self.book.leave_slot(endpoint, at)
 
     def no_connection(self, call, endpoint):
         self.book.doubt(endpoint)
@@ -575,6 +556,7 @@
     def learn(self, call):
         """How long a call holds a slot, smoothed."""
         took = now() - call.begun
+        self.admission.learn(call, took)
         mean = self.slot_us.get(call.service, took)
         self.slot_us[call.service] = mean + (took - mean) // 8
 
@@ -600,12 +582,12 @@
 
     def facts(self, service):
         """What this node knows of a service now, for a report: room, line, mean times, load."""
-        home, line = self.book.home(service), self.lines.get(service)
+        home = self.book.home(service)
         occupation = self.book.occupations.get(service)
         return {
             "busy": sum(e.in_flight for e in self.book.of(service)),
             "capacity": home.capacity if home is not None else 0,
-            "waiting": len(line) if line is not None else 0,
+            "waiting": len(self.admission.queue(service)),
             "rho": round(occupation.rho, 2) if occupation is not None else None,
             "told": home.told if home is not None else None,
             "slot_ms": self.slot_us.get(service, 0) // MILLI,
@@ -616,6 +598,7 @@
 
     def tidy(self, at):
         self.figures.report(at, self.facts)
+        self.invariants.slots(self.admission, self.calls, at)
         self.peers.look(at)
         for caller in list(self.callers):
             caller.look(at)
--- /dev/null
+++ b/packages/mdgate/mdgate/wait_queue.py
@@ -0,0 +1,57 @@
+"""The wait queue of one service at one node."""
+
+from __future__ import annotations
+
+import heapq
+
+from mdgate.call import Call
+
+
+class WaitQueue:
+    """Calls of one service that wait for room, here or at a peer.
+
+    Invariants: ordered by urgency, then by arrival; a call in it has waiting set to it, and a timer
+    that ends its waiting; waiting counts the calls in it by urgency.
+    """
+
+    def __init__(self) -> None:
+        self.heap: list[tuple[int, int, Call]] = []
+        self.number = 0
+        self.waiting: dict[int, int] = {}
+
+    def __len__(self) -> int:
+        return sum(self.waiting.values())
+
+    def join(self, call: Call) -> None:
+        """To the end of those of its urgency."""
+        self.number += 1
+        call.waiting, call.place = self, self.number
+        heapq.heappush(self.heap, (call.urgency, call.place, call))
+        self.waiting[call.urgency] = self.waiting.get(call.urgency, 0) + 1
+
+    def leave(self, call: Call) -> None:
+        """Out of it, from whatever place."""
+        call.waiting = None
+        self.waiting[call.urgency] -= 1
+
+    def holds(self, entry: tuple[int, int, Call]) -> bool:
+        """Whether an entry of the heap is its call's place now; who left may have come again."""
+        _, place, call = entry
+        return call.waiting is self and call.place == place
+
+    def in_order(self) -> list[Call]:
+        """All calls in it, the next first."""
+        return [entry[2] for entry in sorted(self.heap) if self.holds(entry)]
+
+    def next(self) -> Call | None:
+        """Take out the call whose turn it is; None if it is empty."""
+        while self.heap:
+            entry = heapq.heappop(self.heap)
+            if self.holds(entry):
+                self.leave(entry[2])
+                return entry[2]
+        return None
+
+    def in_aim(self, rank: int) -> int:
+        """How many calls of this rank or a higher one can still end in their aim."""
+        return sum(n for u, n in self.waiting.items() if u % 2 == 0 and u <= 2 * rank)
--- /dev/null
+++ b/packages/mdgate/mdgate/waits.py
@@ -0,0 +1,130 @@
+"""How long a call will likely wait for a slot of a service here, and how long it will hold one.
+
+A wait queue is ordered by urgency: the route's rank, and within a rank calls that can still end in
+their aim before those that can't. Who comes later with a greater urgency goes first, so only the
+slots that greater urgencies leave free count for a call: the mean wait in a queue with priorities,
+after Cobham, "Priority assignment in waiting line problems" (1954).
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+from mdgate.call import Call
+
+FIRST_HOLD_US = 50_000  # taken for how long a call holds a slot, until one was seen
+MEAN_GAIN, DEVIATION_GAIN = 16, 8  # smoothing, as of a round trip's time in RFC 6298, but slower
+DEVIATIONS = 2  # a call likely ends within so many mean deviations above the mean
+LEAST_ROOM = 0.05  # of the slots; taken as free for an urgency whatever greater ones use
+
+
+def urgency_of(call: Call, at: int, hold_us: int) -> int:
+    """A call's place among others: even while it can end in its aim, odd afterwards; 0 goes first.
+
+    >>> from types import SimpleNamespace as Facts
+    >>> urgency_of(Facts(rank=1, aim_due=100), at=20, hold_us=80)
+    2
+    >>> urgency_of(Facts(rank=1, aim_due=100), at=21, hold_us=80)
+    3
+    """
+    return 2 * call.rank + (at + hold_us > call.aim_due)
+
+
+class HoldTime:
+    """How long calls of one rank hold a slot: mean and mean deviation, in microseconds.
+
+    >>> hold = HoldTime()
+    >>> hold.mean_us, hold.likely_us
+    (50000, 50000)
+    >>> hold.learn(150_000); hold.mean_us, hold.likely_us
+    (150000, 225000)
+    """
+
+    __slots__ = ("known", "mean_us", "deviation_us")
+
+    def __init__(self) -> None:
+        self.known = False
+        self.mean_us, self.deviation_us = FIRST_HOLD_US, 0
+
+    def learn(self, took_us: int) -> None:
+        """One call held a slot for so long."""
+        if not self.known:
+            self.known = True
+            self.mean_us, self.deviation_us = took_us, took_us // 4
+            return
+        self.deviation_us += (abs(took_us - self.mean_us) - self.deviation_us) // DEVIATION_GAIN
+        self.mean_us += (took_us - self.mean_us) // MEAN_GAIN
+
+    @property
+    def likely_us(self) -> int:
+        """Most calls hold a slot no longer than that."""
+        return self.mean_us + DEVIATIONS * self.deviation_us if self.known else self.mean_us
+
+
+class HeldSlots:
+    """How many slots calls of one urgency hold: now, and in the mean of the last while."""
+
+    __slots__ = ("level", "mean", "at")
+
+    def __init__(self, at: int) -> None:
+        self.level, self.mean, self.at = 0, 0.0, at
+
+    def look(self, at: int, span_us: int) -> float:
+        """The mean, older levels counting less and less over the span."""
+        if at > self.at:
+            kept = math.exp((self.at - at) / span_us)
+            self.mean = self.mean * kept + self.level * (1 - kept)
+            self.at = at
+        return self.mean
+
+    def change(self, at: int, span_us: int, by: int) -> None:
+        """So many more are held from now on."""
+        self.look(at, span_us)
+        self.level += by
+
+
+class ServiceWaits:
+    """The estimates for one service at this node. Invariant: held has each urgency that ever held
+    a slot here, with a level of 0 or more."""
+
+    def __init__(self, span_us: int) -> None:
+        self.span_us = span_us
+        self.holds: dict[int, HoldTime] = {}
+        self.held: dict[int, HeldSlots] = {}
+
+    def hold(self, rank: int) -> HoldTime:
+        """How long calls of a rank hold a slot."""
+        found = self.holds.get(rank)
+        if found is None:
+            found = self.holds[rank] = HoldTime()
+        return found
+
+    def entered(self, urgency: int, at: int) -> None:
+        """A call took a slot."""
+        found = self.held.get(urgency)
+        if found is None:
+            found = self.held[urgency] = HeldSlots(at)
+        found.change(at, self.span_us, 1)
+
+    def left(self, urgency: int, at: int) -> None:
+        """A call gave its slot back."""
+        self.held[urgency].change(at, self.span_us, -1)
+
+    def wait_us(self, waiting: Mapping[int, int], urgency: int, capacity: int, at: int) -> int:
+        """How long a call of this urgency that joins the queue now will likely stand in it.
+
+        waiting: calls in the queue by urgency. capacity: slots of the endpoint.
+
+        >>> waits = ServiceWaits(500_000)
+        >>> waits.hold(0).learn(100_000); waits.hold(1).learn(10_000)
+        >>> waits.wait_us({0: 9}, 0, 10, 0)
+        100000
+        >>> for _ in range(5): waits.entered(0, 0)
+        >>> waits.wait_us({2: 9}, 2, 10, 99_000_000)  # half of the slots go to urgency 0
+        20000
+        """
+        used = sum(h.look(at, self.span_us) for u, h in self.held.items() if u < urgency)
+        room = max(LEAST_ROOM * capacity, capacity - used)
+        ahead = sum(n * self.hold(u // 2).mean_us for u, n in waiting.items() if u <= urgency)
+        return int((ahead + self.hold(urgency // 2).mean_us) / max(LEAST_ROOM, room))
--- a/packages/mdlog/mdlog/__init__.py
+++ b/packages/mdlog/mdlog/__init__.py
@@ -56,6 +56,7 @@
         "the register could not be asked in time; this process collects no more",
     ),
     801: ("call_broke", "a call met an unexpected breakdown inside this process"),
+    802: ("invariant_broken", "something that must always hold did not: says which, and how often"),
 }
 
 
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,249 @@
+"""Who may wait for a slot, in which order, and until when."""
+
+from __future__ import annotations
+
+import pytest
+from gates import all_done, gate_of, gated, items
+from test_gate_rules import HIGH, LOW, believe_hold, works
+from test_items import route
+
+from mdgate.admission import Admission
+from mdgate.call import Call
+from mdgate.invariants import IDLE_SLOT, LATE_FIRST, SLOTS_DIFFER, Invariants
+from mdgate.patience import Patience
+from mdgate.wait_queue import WaitQueue
+from mdgate.waits import ServiceWaits
+from mdseam import MILLI, SECOND, now, rest
+
+
+def call(rank=0, urgency=None, aim_due=SECOND, **facts):
+    known = {"join_due": SECOND, "wait_due": SECOND, "due": 2 * SECOND, "early_due": 0, **facts}
+    return Call(
+        id=b"x",
+        head=b"",
+        body=b"",
+        service="desk",
+        repeatable=True,
+        rank=rank,
+        urgency=2 * rank if urgency is None else urgency,
+        aim_due=aim_due,
+        **known,
+    )
+
+
+# ---------------------------------------------------------------- the queue
+
+
+def test_the_queue_goes_by_urgency_then_by_arrival():
+    queue, calls = WaitQueue(), [call(urgency=u) for u in (3, 2, 2, 0)]
+    for each in calls:
+        queue.join(each)
+    assert queue.waiting == {3: 1, 2: 2, 0: 1} and len(queue) == 4
+    assert queue.in_order() == [calls[3], calls[1], calls[2], calls[0]]
+    assert [queue.next() for _ in range(5)] == [calls[3], calls[1], calls[2], calls[0], None]
+    assert len(queue) == 0
+
+
+def test_who_left_and_came_again_has_one_place_the_last():
+    queue, first, second = WaitQueue(), call(), call()
+    queue.join(first)
+    queue.join(second)
+    queue.leave(first)
+    queue.join(first)
+    assert queue.in_order() == [second, first] and len(queue) == 2
+    assert [queue.next(), queue.next(), queue.next()] == [second, first, None]
+
+
+def test_who_can_still_end_in_its_aim_is_counted_up_to_a_rank():
+    queue = WaitQueue()
+    for urgency in (0, 1, 2, 4):
+        queue.join(call(urgency=urgency))
+    assert [queue.in_aim(rank) for rank in (0, 1, 2)] == [1, 2, 3]
+
+
+# ---------------------------------------------------------------- the estimate
+
+
+def test_slots_that_greater_urgencies_hold_are_not_counted_on():
+    waits, at = ServiceWaits(500 * MILLI), 0
+    waits.hold(2).learn(150 * MILLI)
+    for _ in range(12):
+        waits.entered(2, at)
+    alone = waits.wait_us({4: 10}, 4, 16, at + SECOND)
+    for _ in range(12):
+        waits.left(2, at + SECOND)
+    # ten seconds later nobody of rank 1 has held a slot for long
+    idle = waits.wait_us({4: 10}, 4, 16, at + 11 * SECOND)
+    assert alone == pytest.approx(4 * idle, rel=0.3)
+    assert idle == pytest.approx(11 * 150 * MILLI / 16, rel=0.01)
+
+
+def test_a_greater_urgency_does_not_wait_for_lesser_ones():
+    waits = ServiceWaits(500 * MILLI)
+    for rank in (0, 1):
+        waits.hold(rank).learn(100 * MILLI)
+    assert waits.wait_us({0: 0, 2: 50}, 0, 10, 0) == 10 * MILLI
+
+
+def test_with_all_slots_taken_by_greater_urgencies_the_wait_is_long_but_has_an_end():
+    waits = ServiceWaits(500 * MILLI)
+    for _ in range(10):
+        waits.entered(0, 0)
+    assert waits.wait_us({}, 2, 10, 60 * SECOND) == 50 * MILLI / (0.05 * 10)
+
+
+# ---------------------------------------------------------------- who may join
+
+
+def admission(hold_us, deviation_us=0):
+    made = Admission(10 * SECOND)
+    hold = made.waits("desk").hold(0)
+    hold.known, hold.mean_us, hold.deviation_us = True, hold_us, deviation_us
+    return made
+
+
+@pytest.mark.parametrize(
+    ("wait_ms", "deviation_ms", "wanted"),
+    [(590, 0, True), (610, 0, False), (490, 50, True), (510, 50, False)],
+)
+def test_a_call_joins_if_it_will_likely_end_in_its_aim(wait_ms, deviation_ms, wanted):
+    made = admission(400 * MILLI, deviation_ms * MILLI)
+    assert made.may_join(call(), wait_ms * MILLI, 0) is wanted
+
+
+def test_where_the_aim_can_hardly_be_met_the_mean_decides():
+    made = admission(800 * MILLI, 300 * MILLI)
+    assert made.may_join(call(), 190 * MILLI, 0)
+    assert not made.may_join(call(), 210 * MILLI, 0)
+
+
+def test_a_call_that_will_be_late_anyhow_joins_by_its_own_bound_alone():
+    made, late = admission(800 * MILLI), call(urgency=1, aim_due=0, join_due=300 * MILLI)
+    assert made.may_join(late, 290 * MILLI, 0)
+    assert not made.may_join(late, 310 * MILLI, 0)
+
+
+def test_a_place_is_kept_while_the_aim_can_be_met_and_a_late_one_while_it_may_wait():
+    made = admission(400 * MILLI)
+    assert made.place_until(call()) == 600 * MILLI
+    assert made.place_until(call(urgency=1)) == SECOND
+    assert made.place_until(call(wait_due=100 * MILLI)) == 100 * MILLI
+    assert made.place_until(call(urgency=1, due=700 * MILLI)) == 300 * MILLI
+
+
+def test_time_spent_on_earlier_tries_is_read_off_the_deadline_and_forgotten_with_the_route():
+    made = Admission(10 * SECOND)
+    assert made.spent("r", 0, 1500) == 0
+    assert made.spent("r", 1, 1100) == 400
+    assert made.spent("other", 2, 1100) == 0
+    made.keep_routes({"other"})
+    assert made.spent("r", 3, 1100) == 0
+
+
+def test_the_longest_time_that_callers_allow_is_forgotten_after_two_windows():
+    patience = Patience(10)
+    times = ((0, 9), (9, 5), (11, 5), (21, 5))
+    assert [patience.spent(at, left) for at, left in times] == [0, 4, 4, 0]
+
+
+# ---------------------------------------------------------------- in the gate
+
+
+LONG_LOW = route("longlow", prefix="/longlow/", priority=3, timeout_us=20 * SECOND)
+ONE_SLOT = {"slots": 1, "work_us": works(longlow=300, low=10)}
+
+
+def test_a_second_try_goes_behind_a_first_one_of_its_rank():
+    async def scenario(world):
+        host = list(world.application)[0]
+        gate = gate_of(world, host)
+        gate.admission.spent("low", now(), 2 * SECOND)
+        first = (await world.caller(host)).ask(b"/longlow/x", due_ms=None)
+        await rest(20 * MILLI)
+        believe_hold(gate, 20 * MILLI)
+        calls = [(await world.caller(host)).ask(b"/low/again", due_ms=900)]
+        await rest(5 * MILLI)
+        calls.append((await world.caller(host)).ask(b"/low/fresh", due_ms=2000))
+        await all_done([first, *calls])
+        assert [made.status for made in calls] == [200, 200]
+        order = [ran.target for ran in world.ends[host].journal]
+        assert order == [b"/longlow/x", b"/low/fresh", b"/low/again"]
+
+    gated(scenario, application=("desk",), items=items(LOW, LONG_LOW), endpoint=ONE_SLOT)
+
+
+def test_a_call_whose_aim_passes_in_the_queue_goes_behind_one_that_can_be_in_time():
+    async def scenario(world):
+        host = list(world.application)[0]
+        gate = gate_of(world, host)
+        gate.admission.spent("low", now(), 2 * SECOND)
+        first = (await world.caller(host)).ask(b"/longlow/x", due_ms=None)
+        await rest(20 * MILLI)
+        believe_hold(gate, 100 * MILLI)
+        # its aim counts from a try 800 ms ago: after 100 ms it can't be met any more
+        old = (await world.caller(host)).ask(b"/low/old", due_ms=1200)
+        await rest(120 * MILLI)
+        assert gate.admission.queue("desk").waiting == {6: 0, 7: 1}
+        new = (await world.caller(host)).ask(b"/low/new", due_ms=2000)
+        await all_done([first, old, new])
+        assert [made.status for made in (old, new)] == [200, 200]
+        order = [ran.target for ran in world.ends[host].journal]
+        assert order == [b"/longlow/x", b"/low/new", b"/low/old"]
+
+    gated(scenario, application=("desk",), items=items(LOW, LONG_LOW), endpoint=ONE_SLOT)
+
+
+def test_a_peer_is_told_the_aim_and_orders_by_it():
+    async def scenario(world):
+        guest, there = list(world.application)
+        gate_of(world, guest).admission.spent("low", now(), 2 * SECOND)
+        first = (await world.caller(there)).ask(b"/longlow/x", due_ms=None)
+        await rest(20 * MILLI)
+        believe_hold(gate_of(world, there), 20 * MILLI)
+        calls = [(await world.caller(guest)).ask(b"/low/again", due_ms=900)]
+        await rest(20 * MILLI)
+        calls.append((await world.caller(guest)).ask(b"/low/fresh", due_ms=2000))
+        await all_done([first, *calls])
+        assert [made.status for made in calls] == [200, 200]
+        order = [ran.target for ran in world.ends[there].journal]
+        assert order == [b"/longlow/x", b"/low/fresh", b"/low/again"]
+
+    gated(scenario, application=("", "desk"), items=items(LOW, LONG_LOW), endpoint=ONE_SLOT)
+
+
+# ---------------------------------------------------------------- the invariants
+
+
+def test_each_violation_is_counted_and_logged_once_a_second():
+    logged = []
+    found = Invariants(lambda number, **facts: logged.append((number, facts["invariant"])))
+    made = Admission(10 * SECOND)
+    made.queue("desk").join(call(rank=1))
+    found.starting(call(rank=1, aim_due=5), made, 4)
+    found.starting(call(rank=0, aim_due=5), made, 6)  # of a higher rank than who waits
+    assert not found.violations
+    found.starting(call(rank=1, aim_due=5), made, 6)
+    found.starting(call(rank=1, aim_due=5), made, 7)
+    found.woken("desk", 0, True, 8)
+    found.woken("desk", 1, False, 8)
+    found.woken("desk", 1, True, 8)
+    made.started(call(), 9)
+    found.slots(made, [call()], 10)
+    assert found.violations == {LATE_FIRST: 2, IDLE_SLOT: 1, SLOTS_DIFFER: 1}
+    assert logged == [(802, LATE_FIRST), (802, IDLE_SLOT), (802, SLOTS_DIFFER)]
+    found.starting(call(rank=1, aim_due=5), made, 6 + SECOND)
+    assert len(logged) == 4
+
+
+def test_the_gate_checks_its_slots_while_it_runs():
+    async def scenario(world):
+        host = list(world.application)[0]
+        gate = gate_of(world, host)
+        gate.admission.started(call(), now())  # a slot that nobody holds
+        await rest(300 * MILLI)
+        assert gate.invariants.violations[SLOTS_DIFFER] >= 1
+        assert len(world.trace.events(802)) == 1
+        gate.admission.freed(call(), now())
+        world.trace.lines.clear()
+
+    gated(scenario, application=("desk",), items=items(HIGH))
