A caller that leaves takes its call along: nothing begins for it, what may be repeated ends

A call that waited at a peer, or ran and may be repeated, went on after its caller had closed the connection. Before: tests/test_abandoned.py failed in the cases of runs that may be repeated and of waits at a peer. After: all pass.

--- a/packages/mdgate/mdgate/call.py
+++ b/packages/mdgate/mdgate/call.py
@@ -56,6 +56,7 @@
     end: object = None
     sends: int = 0
     maybe_run: bool = False
+    abandoned: bool = False  # its caller has left
     tried: set = field(default_factory=set)  # neighbours that refused or broke
     asked: set = field(default_factory=set)  # neighbours asked to let it wait
     retry_us: int = 0  # when there may be room, as far as anybody said
--- a/packages/mdgate/mdgate/gate.py
+++ b/packages/mdgate/mdgate/gate.py
@@ -227,6 +227,8 @@
 
     def place(self, call):
         """Send a call on its way, or let it wait; it holds no slot and is nowhere yet."""
+        if call.abandoned:
+            return self.finish(call, Refused("cancelled", 0))
         if now() >= call.due:
             return self.finish(call, Unknown("no_answer") if call.maybe_run else Refused("late", 0))
         while True:
@@ -438,11 +440,25 @@
         return self.finish(call, Refused("busy", call.retry_us))
 
     def cancelled(self, call):
-        """The home needs no answer any more: what has not begun does not begin."""
+        """Nobody needs an answer any more: what has not begun does not begin, and what may be
+        repeated is broken off; anything else that was begun is finished."""
+        if call.end is None:
+            return
+        call.abandoned = True
         if call.waiting is not None:
             call.waiting.leave(call)
-            self.unwait(call)
             self.finish(call, Refused("cancelled", 0))
+        elif call.target is not None:
+            if call.repeatable:
+                self.let_go_target(call).give_up(call)
+                self.finish(call, Unknown("cancelled"))
+            elif call.target.cancel(call):
+                self.let_go_target(call)
+                self.finish(call, Refused("cancelled", 0))
+        elif call.endpoint is not None and call.repeatable:
+            self.pool(call.endpoint).abandon(call)
+            self.free(call)
+            self.finish(call, Unknown("cancelled"))
 
     def let_go_target(self, call):
         link, call.target = call.target, None
@@ -525,8 +541,8 @@
         self.free(call)
         self.count(f"unknown.{code}")
         call.maybe_run = True
-        again = call.home and call.repeatable and code != "no_answer" and self.tries_left(call)
-        if again and self.tries_of(call.service).permit(now()):
+        again = call.home and call.repeatable and not call.abandoned and code != "no_answer"
+        if again and self.tries_left(call) and self.tries_of(call.service).permit(now()):
             self.count("second_try")
             self.place(call)
         else:
--- a/packages/mdgate/mdgate/outlets.py
+++ b/packages/mdgate/mdgate/outlets.py
@@ -209,6 +209,13 @@
                 self.lost(call, "no_answer")
                 return
 
+    def abandon(self, call):
+        """Break the call off: an endpoint ends its work when the connection closes."""
+        for outlet in list(self.outlets):
+            if outlet.call is call:
+                outlet.call = None
+                outlet.drop()
+
     def lost(self, call, code):
         self.gate.may_have_run(call, code)
 
--- a/packages/mdgate/mdgate/peers.py
+++ b/packages/mdgate/mdgate/peers.py
@@ -219,6 +219,14 @@
             if self.ready:
                 self.say([CANCEL, *call.number])
 
+    def cancel(self, call):
+        """The call need not begin any more. True if it never left; else what became of it is told."""
+        if call.number in self.unsent:
+            self.give_up(call)
+            return True
+        self.say([CANCEL, *call.number])
+        return False
+
     def on_fail(self, cause):
         self.on_end(cause)
 
--- /dev/null
+++ b/tests/test_abandoned.py
@@ -0,0 +1,97 @@
+"""A caller leaves: what has not begun does not begin, and what may be repeated is broken off."""
+
+from __future__ import annotations
+
+import pytest
+from gates import SEEDS, gate_of, gated, items, leaks
+from test_gate_rules import LONG, works
+from test_items import route
+
+from mdseam import MILLI, now, rest
+
+ONCE_LONG = route("oncelong", prefix="/oncelong/", repeat="once")
+ONE_SLOT = {"slots": 1, "work_us": works(long=800, oncelong=800)}
+PLACES = (("desk",), ("", "desk"))  # the endpoint is here, or at a peer
+
+
+def ends_of(world):
+    return world.ends[list(world.application)[-1]]
+
+
+@pytest.mark.parametrize("application", PLACES)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_run_that_may_be_repeated_is_broken_off_and_its_slot_is_free(seed, application):
+    async def scenario(world):
+        host, there = list(world.application)[0], list(world.application)[-1]
+        caller = await world.caller(host)
+        caller.ask(b"/long/x")
+        await rest(100 * MILLI)
+        assert len(ends_of(world).running) == 1
+        caller.hang_up()
+        await rest(20 * MILLI)
+        (job,) = ends_of(world).running
+        assert job.conn.over and not gate_of(world, there).calls and not leaks(world)
+
+    gated(scenario, seed, application=application, items=items(LONG), endpoint=ONE_SLOT)
+
+
+@pytest.mark.parametrize("application", PLACES)
+def test_a_run_that_may_not_be_repeated_is_finished(application):
+    async def scenario(world):
+        host, there = list(world.application)[0], list(world.application)[-1]
+        caller = await world.caller(host)
+        caller.ask(b"/oncelong/x", b"POST")
+        await rest(100 * MILLI)
+        caller.hang_up()
+        await rest(100 * MILLI)
+        (job,) = ends_of(world).running
+        assert not job.conn.over and len(gate_of(world, there).calls) == 1
+        await rest(800 * MILLI)
+        assert len(ends_of(world).journal) == 1 and not leaks(world)
+
+    gated(scenario, application=application, items=items(ONCE_LONG), endpoint=ONE_SLOT)
+
+
+@pytest.mark.parametrize("target", (b"/p/x", b"/oncelong/x"))
+@pytest.mark.parametrize("application", PLACES)
+def test_what_waits_does_not_begin(application, target):
+    async def scenario(world):
+        host, there = list(world.application)[0], list(world.application)[-1]
+        holding = await world.caller(host)
+        held = holding.ask(b"/long/x")
+        await rest(50 * MILLI)
+        caller = await world.caller(host)
+        caller.ask(target)
+        await rest(50 * MILLI)
+        assert len(gate_of(world, there).admission.queue("desk")) == 1
+        caller.hang_up()
+        await rest(20 * MILLI)
+        assert len(gate_of(world, there).admission.queue("desk")) == 0
+        assert len(gate_of(world, host).calls) == 1
+        await held.done.wait()
+        await rest(100 * MILLI)
+        assert [ran.target for ran in ends_of(world).journal] == [b"/long/x"]
+
+    gated(scenario, application=application, items=items(LONG, ONCE_LONG), endpoint=ONE_SLOT)
+
+
+@pytest.mark.parametrize("target", (b"/p/x", b"/oncelong/x"))
+def test_what_waits_for_a_link_never_leaves(target):
+    async def scenario(world):
+        host, there = list(world.application)
+        peers = gate_of(world, host).peers
+        for link in list(peers.outgoing.values()):
+            link.wire.close()
+            link.on_end("the test")
+        peers.quiet_until.clear()
+        caller = await world.caller(host)
+        at = now()
+        caller.ask(target)
+        while not any(link.unsent for link in peers.outgoing.values()):
+            await rest(100)
+            assert now() - at < 100 * MILLI
+        caller.hang_up()
+        await rest(500 * MILLI)
+        assert not ends_of(world).journal and gate_of(world, there).counts.get("taken", 0) == 0
+
+    gated(scenario, application=("", "desk"), items=items(LONG, ONCE_LONG), endpoint=ONE_SLOT)
