mdsoak: real processes and sockets under kills, pauses, cuts and lost answers that overlap

Each soak draws its troubles from a seed, up to three at a time, with load and orders going on; then it heals, looks at calm traffic, reads the configuration back, and holds all that ran against all that was asked. Invariants (event 802), broken loops (105, 801) and tracebacks in any log count as broken. Cuts are enforced by each process on its own sockets, no privileges needed.

--- a/packages/mdgate/mdgate/wires.py
+++ b/packages/mdgate/mdgate/wires.py
@@ -151,16 +151,17 @@
 
 
 class Wires:
-    """The real network of one process."""
+    """The real network of one process. make_wire: the class of its connections."""
 
-    def __init__(self, host, nursery, reactor):
+    def __init__(self, host, nursery, reactor, make_wire=Wire):
         self.host, self.nursery, self.reactor = host, nursery, reactor
+        self.make_wire = make_wire
         self.open = set()
 
     def adopt(self, sock, peer=""):
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        wire = Wire(sock, self, peer)
+        wire = self.make_wire(sock, self, peer)
         self.open.add(wire)
         return wire
 
--- /dev/null
+++ b/packages/mdsoak/mdsoak/daemon.py
@@ -0,0 +1,69 @@
+"""One daemon of a soak: python -m mdsoak.daemon ROLE BOOT_FILE CUTS_FILE.
+
+The product's own node and part; mdproxy with a gate, in the product's own names, and a door for the
+beats of its endpoint, which are JSON of GatePart.endpoint_beat's facts.
+"""
+
+from __future__ import annotations
+
+import sys
+from importlib import import_module
+
+import trio
+
+from mdboot import Boot, load
+from mdgate import Dialect
+from mdhttp import Reply, Table
+from mdnode import Node
+from mdnode import signals as watch_signals
+from mdproxy.endpoints import Denied
+from mdproxy.gatepart import GatePart
+from mdseam import Disk, NoDisk, Seams
+from mdsoak.cuts import CutNet, Cuts
+
+BEATS_PORT = 7403
+DIALECT = Dialect(stamp=b"md-stamp")
+beats = Table()
+
+
+@beats.on("POST", "/beat")
+async def beat(part: SoakProxy, request: object) -> Reply:
+    """A beat of the endpoint beside."""
+    import json
+
+    try:
+        part.endpoint_beat(json.loads(await request.body(1 << 16)))
+    except Denied as denied:
+        return Reply(denied.status, {"code": denied.code})
+    return Reply(200, {})
+
+
+class SoakProxy(GatePart):
+    """mdproxy with a gate and a door for beats."""
+
+    dialect = DIALECT
+
+    def doors(self) -> dict:
+        """The door for beats."""
+        return {**super().doors(), f"{self.node.boot.host}:{BEATS_PORT}": beats}
+
+
+def part_of(role: str) -> type:
+    """The part that a role is."""
+    return SoakProxy if role == "mdproxy" else import_module(f"{role}.part").Part
+
+
+async def serve(boot: Boot, cuts_file: str) -> None:
+    """Run until told to stop."""
+    cuts = Cuts(cuts_file, boot.host)
+    async with trio.open_nursery() as nursery:
+        if boot.role != "mdproxy":  # the gate's network watches for itself
+            nursery.start_soon(cuts.watch, lambda: None)
+        seams = Seams(CutNet(boot.host, cuts), Disk(boot.data) if boot.data else NoDisk())
+        node = Node(boot, seams, nursery)
+        nursery.start_soon(watch_signals, node)
+        await node.run(part_of(boot.role))
+
+
+if __name__ == "__main__":
+    trio.run(serve, load(sys.argv[1], sys.argv[2]), sys.argv[3])
--- /dev/null
+++ b/packages/mdsoak/mdsoak/soak.py
@@ -0,0 +1,174 @@
+"""One soak: start a fleet, load it, bring the troubles about, heal, and judge."""
+
+from __future__ import annotations
+
+import signal
+from dataclasses import dataclass, field
+
+import trio
+
+from mdseam import MILLI, SECOND, now, rest
+from mdsoak.fleet import SoakFleet, topology
+from mdsoak.traffic import DEADLINE_MS, Traffic, first_items
+from mdsoak.troubles import Trouble, draw
+
+CALLS_PER_S = 120.0
+RECOVERY_S = 3.0
+CALM_S = 2.0
+SERVED_WHEN_CALM = 0.95
+READY_WITHIN = 20 * SECOND
+PAUSES = {"pause proxy": "mdproxy", "pause core": "mdconf"}
+CORE_ROLES = ("mdconf", "mdreg")
+
+
+@dataclass
+class Result:
+    """What one soak found."""
+
+    seed: int
+    troubles: list[Trouble]
+    calls: int = 0
+    served: int = 0
+    refused: int = 0
+    orders: int = 0
+    orders_acknowledged: int = 0
+    calm_calls: int = 0
+    calm_served: int = 0
+    broken: list[str] = field(default_factory=list)
+
+    def __str__(self) -> str:
+        return (
+            f"seed {self.seed}: {len(self.troubles)} troubles, {self.calls} calls, "
+            f"{self.served} served, {self.refused} refused, {self.orders_acknowledged} of "
+            f"{self.orders} orders acknowledged, calm {self.calm_served}/{self.calm_calls}, "
+            f"{len(self.broken)} broken"
+        )
+
+
+class Soak:
+    """Invariant: cuts holds the pairs that are cut off from each other now."""
+
+    def __init__(self, fleet: SoakFleet, seed: int, seconds: float, count: int) -> None:
+        self.fleet, self.seconds = fleet, seconds
+        self.core, self.proxies = fleet.core, list(fleet.application)
+        self.traffic = Traffic(self.core, self.proxies, seed)
+        troubles = draw(seed, seconds, self.core, self.proxies, count)
+        self.result = Result(seed, troubles)
+        self.cuts: list[tuple[str, ...]] = []
+
+    # ------------------------------------------------------------ troubles
+
+    async def bring_about(self, trouble: Trouble, begun: int) -> None:
+        """Wait for a trouble's moment, cause it, and end it."""
+        await rest(begun + int(trouble.at_s * SECOND) - now())
+        if trouble.kind == "cut":
+            self.cuts.append(trouble.hosts)
+            self.fleet.cut(self.cuts)
+            await rest(int(trouble.for_s * SECOND))
+            self.cuts.remove(trouble.hosts)
+            self.fleet.cut(self.cuts)
+        elif trouble.kind == "lost answers":
+            self.traffic.losing.add(trouble.hosts[0])
+            await rest(int(trouble.for_s * SECOND))
+            self.traffic.losing.discard(trouble.hosts[0])
+        elif trouble.kind in PAUSES:
+            await self.pause(f"{PAUSES[trouble.kind]}-{trouble.hosts[0]}", trouble)
+        else:
+            await self.kill(trouble)
+
+    async def pause(self, name: str, trouble: Trouble) -> None:
+        """SIGSTOP, and SIGCONT when it is over."""
+        handle = self.fleet.processes[name].handle
+        handle.send_signal(signal.SIGSTOP)
+        try:
+            await rest(int(trouble.for_s * SECOND))
+        finally:
+            handle.send_signal(signal.SIGCONT)
+
+    async def kill(self, trouble: Trouble) -> None:
+        """SIGKILL of all daemons of a machine, and their start when it is over."""
+        (host,) = trouble.hosts
+        roles = CORE_ROLES if trouble.kind.endswith("core") else ("mdproxy",)
+        for role in roles:
+            self.fleet.stop(f"{role}-{host}", signal.SIGKILL)
+        await rest(int(trouble.for_s * SECOND))
+        for role in roles:
+            self.fleet.start_daemon(role, host)
+
+    # ------------------------------------------------------------ course
+
+    async def run(self) -> Result:
+        """The whole soak, on a fleet that is up."""
+        async with trio.open_nursery() as nursery:
+            for host in self.proxies:
+                await self.traffic.start_endpoint(nursery, host)
+            self.found(await self.traffic.order(first_items()), "the first order was not taken")
+            await self.served_everywhere(nursery)
+            nursery.start_soon(self.traffic.ask_all, nursery, CALLS_PER_S)
+            nursery.start_soon(self.traffic.order_again_and_again)
+            begun = now()
+            async with trio.open_nursery() as troubles:
+                for trouble in self.result.troubles:
+                    troubles.start_soon(self.bring_about, trouble, begun)
+            await rest(begun + int((self.seconds + RECOVERY_S) * SECOND) - now())
+            calm_from = now()
+            await rest(int(CALM_S * SECOND))
+            self.traffic.over.set()
+            await rest(2 * DEADLINE_MS * MILLI)
+            await self.judge(calm_from)
+            nursery.cancel_scope.cancel()
+        return self.result
+
+    async def served_everywhere(self, nursery: trio.Nursery) -> None:
+        """Until a call at each host is served."""
+        until = now() + READY_WITHIN
+        for host in self.proxies:
+            while True:
+                asked = await self.traffic.call(nursery, host, "safe", 0)
+                if asked is not None and asked.status == 200:
+                    break
+                if now() > until:
+                    self.found(False, f"no call was served at {host} within {READY_WITHIN} us")
+                    return
+                await rest(100 * MILLI)
+
+    def found(self, good: object, what: str) -> None:
+        """Note what is broken, unless it is good."""
+        if not good:
+            self.result.broken.append(what)
+
+    async def judge(self, calm_from: int) -> None:
+        """Hold what was seen against what must hold."""
+        result, traffic = self.result, self.traffic
+        result.broken += traffic.ledger.broken(lambda a: not a.target.startswith(b"/once/"))
+        result.broken += [f"event {event}" for event in self.fleet.events(105, 801, 802)]
+        result.broken += self.fleet.tracebacks()
+        for name, process in self.fleet.processes.items():
+            self.found(process.handle.poll() is None, f"{name} ended by itself")
+        asked = traffic.ledger.asked
+        for call in asked:
+            self.found(call.done.is_set(), f"{call.id} got no answer")
+        calm = [call for call in asked if call.at >= calm_from]
+        result.calls, result.served = len(asked), sum(call.status == 200 for call in asked)
+        result.refused = sum(call.status == 503 for call in asked)
+        result.calm_calls = len(calm)
+        result.calm_served = sum(call.status == 200 for call in calm)
+        result.orders, result.orders_acknowledged = traffic.orders, traffic.orders_acknowledged
+        self.found(
+            result.calm_served >= SERVED_WHEN_CALM * len(calm), "too little served when calm"
+        )
+        version = await traffic.read_back()
+        self.found(
+            traffic.acknowledged <= version <= traffic.version,
+            f"version {version} is read back, {traffic.acknowledged} was acknowledged",
+        )
+
+
+def soak(seed: int, seconds: float, count: int, net: str, folder: str) -> Result:
+    """Run one soak on a free loopback net, with its files in a folder of its own."""
+    fleet = SoakFleet(topology(net), folder)
+    try:
+        fleet.up()
+        return trio.run(Soak(fleet, seed, seconds, count).run)
+    finally:
+        fleet.down()
