Invariant: a queue does not stand; what it let in and did not serve in time is counted

A queue stands if for two seconds in a row most calls that it let in to end in their aim were late or refused: the sign of the incident. Before, a call that is kept for news of an endpoint counted as let in; it is not.

--- a/packages/mdgate/mdgate/call.py
+++ b/packages/mdgate/mdgate/call.py
@@ -50,6 +50,7 @@
     urgency: int = 0  # among those that wait: by rank, then who can still end in its aim
     place: int = 0  # in the queue where it waits
     place_until: int = 0  # then it loses that place
+    let_in: bool = False  # it joined a queue here as one that would end in its aim
     bare: bool = False  # a HEAD
     home: bool = True  # it arrived here; else a neighbour sent it
     instance: str = ""  # for a neighbour's call: the endpoint that it believes to be here
--- a/packages/mdgate/mdgate/figures.py
+++ b/packages/mdgate/mdgate/figures.py
@@ -25,7 +25,8 @@
     in_aim: int = 0  # ended here within their aim
     late: int = 0  # ended here after it
     hold_us: int = 0  # of those ended: from their start
-    misjudged: int = 0  # let into the queue and refused from there
+    let_in_kept: int = 0  # let into the queue to end in their aim, and did
+    let_in_broken: int = 0  # let into the queue to end in their aim, and were late or refused
     refused: Counter = field(default_factory=Counter)  # reason -> calls, of callers and of peers
 
 
@@ -70,25 +71,35 @@
         figures = self.of(call)
         if at <= call.aim_due:
             figures.in_aim += 1
+            figures.let_in_kept += call.let_in
         else:
             figures.late += 1
+            figures.let_in_broken += call.let_in
         figures.hold_us += at - call.begun
 
-    def misjudged(self, call: Call) -> None:
+    def turned_out(self, call: Call) -> None:
         """A call that was let into the queue is refused without having had its turn."""
-        self.of(call).misjudged += 1
+        self.of(call).let_in_broken += call.let_in
 
     def refused(self, call: Call, code: str) -> None:
         """A call was refused, not run."""
         self.of(call).refused[code] += 1
 
-    def report(self, at: int, facts: Callable[[str], dict[str, object]]) -> None:
-        """Log the services that ran short of room, with what else the caller knows of each."""
+    def report(
+        self,
+        at: int,
+        facts: Callable[[str], dict[str, object]],
+        judge: Callable[[str, int, RankFigures, int], None],
+    ) -> None:
+        """Log the services that ran short of room, with what else the caller knows of each, and
+        have the figures of each service and rank judged."""
         length = at - self.since
         if length < REPORT_EVERY:
             return
         services, self.services, self.since = self.services, {}, at
         for service, ranks in services.items():
+            for rank, figures in ranks.items():
+                judge(service, rank, figures, at)
             if any(figures.refused for figures in ranks.values()):
                 by_rank = {rank: summary(ranks[rank]) for rank in sorted(ranks)}
                 self.log(407, service=service, ms=length // MILLI, ranks=by_rank, **facts(service))
@@ -107,6 +118,6 @@
         "in_aim": figures.in_aim,
         "late": figures.late,
         "hold_ms": figures.hold_us // MILLI // max(1, ended),
-        "misjudged": figures.misjudged,
+        "let_in": [figures.let_in_kept, figures.let_in_broken],
         "refused": dict(figures.refused),
     }
--- a/packages/mdgate/mdgate/gate.py
+++ b/packages/mdgate/mdgate/gate.py
@@ -302,7 +302,7 @@
         if home is not None:
             call.retry_us = self.admission.wait_us(call, home.capacity, at)
             if self.admission.may_join(call, call.retry_us, at):
-                return self.join(call)
+                return self.let_in(call)
         while len(call.asked) < ASKS and at < call.join_due:
             nodes = [
                 n
@@ -320,6 +320,11 @@
             return self.join(call)
         return self.give_up(call, "busy" if home is not None or call.asked else "gone")
 
+    def let_in(self, call):
+        """Into the queue, as one that has been judged."""
+        call.let_in = call.urgency % 2 == 0
+        self.join(call)
+
     def join(self, call):
         """Into the queue for a slot here."""
         self.book.waiters.setdefault(call.service, partial(self.wake, call.service))
@@ -339,7 +344,7 @@
         if home is not None and self.admission.may_wait_on(call, home.capacity, now()):
             self.join(call)
         else:
-            self.figures.misjudged(call)
+            self.figures.turned_out(call)
             self.give_up(call, "busy")
 
     def give_up(self, call, code):
@@ -436,7 +441,7 @@
             return self.start(call, home)
         call.retry_us = self.admission.wait_us(call, home.capacity, at)
         if self.admission.may_join(call, call.retry_us, at):
-            return self.join(call)
+            return self.let_in(call)
         return self.finish(call, Refused("busy", call.retry_us))
 
     def cancelled(self, call):
@@ -613,7 +618,7 @@
         }
 
     def tidy(self, at):
-        self.figures.report(at, self.facts)
+        self.figures.report(at, self.facts, self.invariants.queue)
         self.invariants.slots(self.admission, self.calls, at)
         self.peers.look(at)
         for caller in list(self.callers):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -9,7 +9,8 @@
 
 from mdgate.admission import Admission
 from mdgate.call import Call
-from mdgate.invariants import IDLE_SLOT, LATE_FIRST, SLOTS_DIFFER, Invariants
+from mdgate.figures import RankFigures
+from mdgate.invariants import IDLE_SLOT, LATE_FIRST, QUEUE_STANDS, SLOTS_DIFFER, Invariants
 from mdgate.patience import Patience
 from mdgate.wait_queue import WaitQueue
 from mdgate.waits import ServiceWaits
@@ -247,3 +248,42 @@
         world.trace.lines.clear()
 
     gated(scenario, application=("desk",), items=items(HIGH))
+
+
+def rank_figures(kept, broken):
+    found = RankFigures()
+    found.let_in_kept, found.let_in_broken = kept, broken
+    return found
+
+
+def test_a_queue_whose_calls_mostly_end_late_for_two_seconds_stands():
+    found = Invariants(lambda number, **facts: None)
+    for kept, broken, violations in (
+        (0, 9, 0),  # too few to say
+        (0, 99, 0),  # estimates may be behind a sudden change
+        (99, 99, 0),  # not most
+        (0, 99, 0),
+        (5, 6, 1),
+        (5, 6, 2),
+    ):
+        found.queue("desk", 2, rank_figures(kept, broken), 0)
+        assert found.violations[QUEUE_STANDS] == violations
+
+
+def test_what_was_let_in_and_not_served_in_its_aim_is_counted():
+    async def scenario(world):
+        host = list(world.application)[0]
+        gate = gate_of(world, host)
+        first = (await world.caller(host)).ask(b"/longlow/x", due_ms=None)
+        await rest(20 * MILLI)
+        believe_hold(gate, 100 * MILLI)  # in truth the slot is held for 300 ms
+        gate.figures.services.clear()
+        gate.figures.since = now()
+        calls = [(await world.caller(host)).ask(b"/low/x"), (await world.caller(host)).ask(b"/p/y")]
+        await all_done([first, *calls])
+        ranks = gate.figures.services["desk"]
+        assert [calls[0].status, calls[1].status] == [200, 200]
+        assert (ranks[3].let_in_kept, ranks[3].let_in_broken) == (1, 0)
+        assert ranks[0].started == 1 and ranks[0].let_in_kept == 1
+
+    gated(scenario, application=("desk",), items=items(LOW, LONG_LOW), endpoint=ONE_SLOT)
