--- a/packages/mdproxy/mdproxy/walk.py
+++ b/packages/mdproxy/mdproxy/walk.py
@@ -15,6 +15,10 @@
 from mdverdict import NOT_RUN, TABLE
 from mdwire import ConnectionFailed, Rejected
 
+FIRST_HOLD = 50 * MILLI  # how long a call holds a slot, until one of its way was seen
+SMOOTHED = 8
+REMEMBERED = 1_000  # ways of a service
+
 
 class Holding:
     """Calls of one service that wait for a slot here. Invariant: first come, first served; an
@@ -23,11 +27,16 @@
     def __init__(self, walker, service):
         self.walker, self.service = walker, service
         self.line = deque()
-        self.mean_us = 50 * MILLI  # how long an endpoint holds a slot, smoothed
+        self.hold_us = {}  # way -> how long its calls hold a slot, smoothed: ways may be unlike
+
+    def expected_us(self, call):
+        """How long the call will hold a slot."""
+        return self.hold_us.get(call.way.name, FIRST_HOLD)
 
-    def worth_it(self, capacity, wait_us):
-        """Would a call that joins now likely be served within its wait?"""
-        return (len(self.line) + 1) * self.mean_us / max(1, capacity) <= wait_us
+    def worth_it(self, call, capacity, wait_us):
+        """Would the call, if it joins now, likely be served within its wait?"""
+        ahead_us = sum(self.expected_us(waiting) for waiting, _ in self.line)
+        return (ahead_us + self.expected_us(call)) / max(1, capacity) <= wait_us
 
     def wake(self):
         while self.line:
@@ -42,8 +51,12 @@
             self.walker.take(call, home)
             told.set()
 
-    def ended(self, took_us):
-        self.mean_us += (took_us - self.mean_us) // 8
+    def ended(self, call, took_us):
+        """A call held its slot for so long; the ways seen last are remembered."""
+        mean_us = self.hold_us.pop(call.way.name, took_us)
+        self.hold_us[call.way.name] = mean_us + (took_us - mean_us) // SMOOTHED
+        if len(self.hold_us) > REMEMBERED:
+            del self.hold_us[next(iter(self.hold_us))]
 
 
 class Walker:
@@ -165,7 +178,7 @@
             return self.take(call, home)
         holding = self.holding(call.way.service)
         wait_us = call.way.arrival[0]
-        if call.spills or not holding.worth_it(home.capacity, wait_us):
+        if call.spills or not holding.worth_it(call, home.capacity, wait_us):
             return call.shed("busy")
         told = trio.Event()
         entry = (call, told)
@@ -311,7 +324,7 @@
         load = told_load(lines)
         if load is not None:
             endpoint.told, endpoint.told_at = load, now()
-        self.holding(way.service).ended(now() - begun)
+        self.holding(way.service).ended(call, now() - begun)
         word = SAID.get((status, dict(lines).get(b"md-verdict")))
         if word is not None:
             self.let_go(call)
--- a/packages/mdsoak/mdsoak/__main__.py
+++ b/packages/mdsoak/mdsoak/__main__.py
@@ -8,7 +8,7 @@
 
 import fire
 
-from mdsoak.soak import soak
+from mdsoak.soak import Plan, soak
 
 
 class Commands:
@@ -27,7 +27,7 @@
         broken = 0
         for seed in range(first, first + seeds):
             place = os.path.join(folder, str(seed))
-            result = soak(seed, seconds, troubles, f"127.66.{seed % 250}", place)
+            result = soak(seed, Plan(seconds, troubles), f"127.66.{seed % 250}", place)
             print(result, flush=True)
             if result.broken:
                 broken += 1
--- a/packages/mdsoak/mdsoak/soak.py
+++ b/packages/mdsoak/mdsoak/soak.py
@@ -12,15 +12,23 @@
 from mdsoak.traffic import DEADLINE_MS, Traffic, first_items
 from mdsoak.troubles import Trouble, draw
 
-CALLS_PER_S = 120.0
 RECOVERY_S = 3.0
 CALM_S = 2.0
-SERVED_WHEN_CALM = 0.95
 READY_WITHIN = 20 * SECOND
 PAUSES = {"pause proxy": "mdproxy", "pause core": "mdconf"}
 CORE_ROLES = ("mdconf", "mdreg")
 
 
+@dataclass(frozen=True)
+class Plan:
+    """What a soak is: seconds of troubles, how many, the load, and what must be served afterwards."""
+
+    seconds: float = 10.0
+    troubles: int = 8
+    calls_per_s: float = 120.0  # three quarters of what the endpoints can do
+    served_when_calm: float = 0.95
+
+
 @dataclass
 class Result:
     """What one soak found."""
@@ -48,11 +56,11 @@
 class Soak:
     """Invariant: cuts holds the pairs that are cut off from each other now."""
 
-    def __init__(self, fleet: SoakFleet, seed: int, seconds: float, count: int) -> None:
-        self.fleet, self.seconds = fleet, seconds
+    def __init__(self, fleet: SoakFleet, seed: int, plan: Plan) -> None:
+        self.fleet, self.plan = fleet, plan
         self.core, self.proxies = fleet.core, list(fleet.application)
         self.traffic = Traffic(self.core, self.proxies, seed)
-        troubles = draw(seed, seconds, self.core, self.proxies, count)
+        troubles = draw(seed, plan.seconds, self.core, self.proxies, plan.troubles)
         self.result = Result(seed, troubles)
         self.cuts: list[tuple[str, ...]] = []
 
@@ -104,13 +112,13 @@
                 await self.traffic.start_endpoint(nursery, host)
             self.found(await self.traffic.order(first_items()), "the first order was not taken")
             await self.served_everywhere(nursery)
-            nursery.start_soon(self.traffic.ask_all, nursery, CALLS_PER_S)
+            nursery.start_soon(self.traffic.ask_all, nursery, self.plan.calls_per_s)
             nursery.start_soon(self.traffic.order_again_and_again)
             begun = now()
             async with trio.open_nursery() as troubles:
                 for trouble in self.result.troubles:
                     troubles.start_soon(self.bring_about, trouble, begun)
-            await rest(begun + int((self.seconds + RECOVERY_S) * SECOND) - now())
+            await rest(begun + int((self.plan.seconds + RECOVERY_S) * SECOND) - now())
             calm_from = now()
             await rest(int(CALM_S * SECOND))
             self.traffic.over.set()
@@ -164,11 +172,11 @@
         )
 
 
-def soak(seed: int, seconds: float, count: int, net: str, folder: str) -> Result:
+def soak(seed: int, plan: Plan, net: str, folder: str) -> Result:
     """Run one soak on a free loopback net, with its files in a folder of its own."""
     fleet = SoakFleet(topology(net), folder)
     try:
         fleet.up()
-        return trio.run(Soak(fleet, seed, seconds, count).run)
+        return trio.run(Soak(fleet, seed, plan).run)
     finally:
         fleet.down()
--- /dev/null
+++ b/tests/test_holding.py
@@ -0,0 +1,41 @@
+"""The plain path's queue: who joins, by how long calls of each way hold a slot."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+from mdproxy.walk import FIRST_HOLD, REMEMBERED, Holding
+from mdseam import MILLI
+
+
+def call(way):
+    return SimpleNamespace(way=SimpleNamespace(name=way))
+
+
+def holding(*waiting):
+    made = Holding(None, "desk")
+    for way, took_ms, times in (("long", 150, 1), ("short", 15, 50)):
+        for _ in range(times):
+            made.ended(call(way), took_ms * MILLI)
+    made.line.extend((call(way), None) for way in waiting)
+    return made
+
+
+def test_long_calls_ahead_count_as_long_however_many_short_ones_ran():
+    assert holding("long", "long").worth_it(call("long"), 1, 450 * MILLI)
+    assert not holding("long", "long").worth_it(call("long"), 1, 440 * MILLI)
+    assert holding("short", "short").worth_it(call("short"), 1, 45 * MILLI)
+    assert not holding("short", "long").worth_it(call("short"), 1, 170 * MILLI)
+
+
+def test_a_way_that_never_ran_counts_as_the_first_guess():
+    assert Holding(None, "desk").worth_it(call("x"), 1, FIRST_HOLD)
+    assert not Holding(None, "desk").worth_it(call("x"), 1, FIRST_HOLD - 1)
+
+
+def test_the_ways_seen_last_are_remembered():
+    made = holding()
+    for number in range(REMEMBERED - 1):
+        made.ended(call(str(number)), MILLI)
+    assert len(made.hold_us) == REMEMBERED and "short" in made.hold_us
+    assert "long" not in made.hold_us
