--- a/packages/mdsoak/mdsoak/soak.py
+++ b/packages/mdsoak/mdsoak/soak.py
@@ -162,9 +162,8 @@
         result.calm_calls = len(calm)
         result.calm_served = sum(call.status == 200 for call in calm)
         result.orders, result.orders_acknowledged = traffic.orders, traffic.orders_acknowledged
-        self.found(
-            result.calm_served >= SERVED_WHEN_CALM * len(calm), "too little served when calm"
-        )
+        enough = self.plan.served_when_calm * len(calm)
+        self.found(result.calm_served >= enough, "too little served when calm")
         version = await traffic.read_back()
         self.found(
             traffic.acknowledged <= version <= traffic.version,
