A slot that is held without an answer counts for how long slots are held

The stand-in endpoint kept its slots for 30 s beyond the time that a silent call was given; it ends its work at that time now, as the contract says.

--- a/packages/mdgate/mdgate/gate.py
+++ b/packages/mdgate/mdgate/gate.py
@@ -543,6 +543,8 @@
         if call.end is None:
             return
         self.let_go_target(call)
+        if code == "no_answer" and call.endpoint is not None:
+            self.admission.learn(call, now() - call.begun)  # so long at least, with nothing to show
         self.free(call)
         self.count(f"unknown.{code}")
         call.maybe_run = True
--- a/packages/mdsim/mdsim/standin/endpoint.py
+++ b/packages/mdsim/mdsim/standin/endpoint.py
@@ -137,7 +137,8 @@
             took *= 10
         status = 200
         if job.fault == "silence":
-            await rest(max(0, job.due - now()) + 30 * SECOND)
+            await rest(max(0, job.due - now()))  # its work ends with the time that it was given
+            self.ended(job)
             return
         if self.inner is not None:
             status = await self.call_on(job)
@@ -149,6 +150,11 @@
         self.running.discard(job)
         if not job.conn.over:
             self.answer_of(job, ran, status)
+        self.ended(job)
+
+    def ended(self, job):
+        """A slot is free: the next in the queue begins."""
+        self.running.discard(job)
         while self.queue and len(self.running) < self.slots:
             self.begin(self.queue.popleft())
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from gates import all_done, gate_of, gated, items
+from gates import all_done, asked, gate_of, gated, items
 from test_gate_rules import HIGH, LOW, believe_hold, works
 from test_items import route
 
@@ -244,6 +244,28 @@
     gated(scenario, application=("", "desk"), items=items(LOW, LONG_LOW), endpoint=ONE_SLOT)
 
 
+def test_a_slot_held_without_an_answer_counts_for_how_long_slots_are_held():
+    async def scenario(world):
+        host = list(world.application)[0]
+        gate, end = gate_of(world, host), world.ends[host]
+        await asked(world, host)
+        assert gate.slot_us("desk") < 50 * MILLI
+        end.faults["*"] = ["silence"] * 30
+        for _ in range(30):
+            made = await asked(world, host, due_ms=300)
+            assert made.status == 504
+        assert gate.slot_us("desk") > 200 * MILLI
+        # so nobody is let in to wait for such a slot who would be late
+        end.faults["*"] = ["silence"]
+        held = (await world.caller(host)).ask(due_ms=300)
+        await rest(10 * MILLI)
+        made = await asked(world, host, due_ms=300)
+        assert made.status == 503 and made.took < 20 * MILLI
+        await all_done([held])
+
+    gated(scenario, application=("desk",), endpoint={"slots": 1, "work_us": 10 * MILLI})
+
+
 # ---------------------------------------------------------------- the invariants
 
 
