Time spent on earlier tries: by what is usual on a route, not by the longest deadline

Now the time left of the latest 64 requests is looked at, and a tenth of them may be odd. What is known of services that are in force no more, and that nobody waits for, is forgotten.

--- a/packages/mdgate/mdgate/admission.py
+++ b/packages/mdgate/mdgate/admission.py
@@ -19,8 +19,7 @@
 class Admission:
     """The queues of one node, and the estimates by which calls are let in. Times in microseconds."""
 
-    def __init__(self, patience_us: int) -> None:
-        self.patience_us = patience_us
+    def __init__(self) -> None:
         self.span_us = FIRST_SPAN_US
         self.queues: dict[str, WaitQueue] = {}
         self.services: dict[str, ServiceWaits] = {}
@@ -32,11 +31,14 @@
         for waits in self.services.values():
             waits.span_us = self.span_us
 
-    def keep_routes(self, names: set[str]) -> None:
-        """Routes that are in force no more are forgotten."""
-        self.routes = {name: patience for name, patience in self.routes.items() if name in names}
+    def keep(self, routes: set[str], services: set[str]) -> None:
+        """Forget what is in force no more, but for services that calls still wait for or hold."""
+        self.routes = {name: known for name, known in self.routes.items() if name in routes}
         for waits in self.services.values():
-            waits.holds = {kind: hold for kind, hold in waits.holds.items() if kind in names}
+            waits.holds = {kind: hold for kind, hold in waits.holds.items() if kind in routes}
+        for service in [s for s in self.services if s not in services]:
+            if not self.services[service].in_use() and not len(self.queue(service)):
+                del self.services[service], self.queues[service]
 
     def waits(self, service: str) -> ServiceWaits:
         """The estimates for a service."""
@@ -52,12 +54,12 @@
             found = self.queues[service] = WaitQueue()
         return found
 
-    def spent(self, route: str, at: int, left_us: int) -> int:
+    def spent(self, route: str, left_us: int) -> int:
         """How much of its time a caller of this route has probably spent on earlier tries."""
         patience = self.routes.get(route)
         if patience is None:
-            patience = self.routes[route] = Patience(self.patience_us)
-        return patience.spent(at, left_us)
+            patience = self.routes[route] = Patience()
+        return patience.spent(left_us)
 
     # ------------------------------------------------------------ slots
 
--- a/packages/mdgate/mdgate/gate.py
+++ b/packages/mdgate/mdgate/gate.py
@@ -55,7 +55,7 @@
         self.accepting = {}  # (service, ceiling) -> nodes of the latest list
         self.left_out = set()  # (service, address) that had no room, until the next list
         self.wheels, self.pools, self.tries = {}, {}, {}
-        self.admission = Admission(boot.tries["window_us"])
+        self.admission = Admission()
         self.splits = {}
         self.fleet_us = {}  # service -> mean time that a call holds a slot, over the latest list
         self.figures = FiguresLog(log)
@@ -71,9 +71,8 @@
         ranks = [r.priority for prefixes in table.routes.values() for r in prefixes.values()]
         self.lowest_rank = max(ranks, default=0)
         self.admission.averaged_over(load["interval_us"])
-        self.admission.keep_routes(
-            {r.name for prefixes in table.routes.values() for r in prefixes.values()}
-        )
+        routes = {r.name for prefixes in table.routes.values() for r in prefixes.values()}
+        self.admission.keep(routes, set(table.services))
 
     @property
     def limits(self):
@@ -117,7 +116,7 @@
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
             lines.append((b"Content-Length", b"%d" % len(request.body)))
         aim = min(route.aim_us or total, total)
-        spent = self.admission.spent(route.name, at, total)
+        spent = self.admission.spent(route.name, total)
         call = Call(
             id=id,
             head=head_of(request.method, request.target, lines),
--- a/packages/mdgate/mdgate/patience.py
+++ b/packages/mdgate/mdgate/patience.py
@@ -6,28 +6,39 @@
 
 from __future__ import annotations
 
+from collections import deque
+
+SAMPLES = 64  # latest requests of a route that are looked at
+LOOK_EVERY = 16  # requests
+USUAL = 0.9  # the share of them that has no more time left than is usual: the rest are odd ones
 
-class Patience:
-    """The longest time that callers of one route allowed within the last one to two windows.
 
-    >>> patience = Patience(window_us=10)
-    >>> patience.spent(at=0, left_us=1500), patience.spent(at=1, left_us=1100)
-    (0, 400)
-    >>> patience.spent(at=12, left_us=1100), patience.spent(at=25, left_us=1100)
-    (400, 0)
+class Patience:
+    """The time that callers of one route usually allow, in microseconds. It is near the longest
+    among the latest requests, since a first try has more time left than a further one; a few
+    callers with much longer deadlines don't count.
+
+    >>> patience = Patience()
+    >>> patience.spent(1500), patience.spent(1100), patience.spent(1500)
+    (0, 400, 0)
+    >>> for _ in range(30): _ = patience.spent(1500)
+    >>> patience.spent(60_000), patience.spent(1500), patience.spent(1400)
+    (0, 0, 100)
     """
 
-    __slots__ = ("window_us", "since", "longest_us", "former_us")
+    __slots__ = ("latest", "seen", "usual_us")
 
-    def __init__(self, window_us: int) -> None:
-        self.window_us = window_us
-        self.since = self.longest_us = self.former_us = 0
+    def __init__(self) -> None:
+        self.latest: deque[int] = deque(maxlen=SAMPLES)
+        self.seen = self.usual_us = 0
 
-    def spent(self, at: int, left_us: int) -> int:
+    def spent(self, left_us: int) -> int:
         """How much of its time a request has probably spent when it comes with so much left."""
-        if at - self.since >= self.window_us:
-            recent = at - self.since < 2 * self.window_us
-            self.former_us, self.longest_us = self.longest_us if recent else 0, 0
-            self.since = at
-        self.longest_us = max(self.longest_us, left_us)
-        return max(self.longest_us, self.former_us) - left_us
+        self.latest.append(left_us)
+        self.seen += 1
+        if self.seen % LOOK_EVERY == 0:
+            in_order = sorted(self.latest)
+            self.usual_us = in_order[int(USUAL * (len(in_order) - 1))]
+        elif self.seen < LOOK_EVERY:
+            self.usual_us = max(self.usual_us, left_us)
+        return max(0, self.usual_us - left_us)
--- a/packages/mdgate/mdgate/waits.py
+++ b/packages/mdgate/mdgate/waits.py
@@ -126,6 +126,10 @@
         """A call gave its slot back."""
         self.held[urgency].change(at, self.span_us, -1)
 
+    def in_use(self) -> bool:
+        """Whether any slot is held."""
+        return any(slots.level for slots in self.held.values())
+
     def wait_us(
         self, work_us: Mapping[int, int], urgency: int, hold_us: int, capacity: int, at: int
     ) -> int:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -119,7 +119,7 @@
 
 
 def admission(hold_us, deviation_us=0):
-    made = Admission(10 * SECOND)
+    made = Admission()
     hold = made.waits("desk").hold("k")
     hold.known, hold.mean_us, hold.deviation_us = True, hold_us, deviation_us
     return made
@@ -162,21 +162,52 @@
 
 
 def test_time_spent_on_earlier_tries_is_read_off_the_deadline_and_forgotten_with_the_route():
-    made = Admission(10 * SECOND)
-    assert made.spent("r", 0, 1500) == 0
-    assert made.spent("r", 1, 1100) == 400
-    assert made.spent("other", 2, 1100) == 0
+    made = Admission()
+    assert made.spent("r", 1500) == 0
+    assert made.spent("r", 1100) == 400
+    assert made.spent("other", 1100) == 0
     made.waits("desk").hold("r").learn(9)
     made.waits("desk").hold("other").learn(9)
-    made.keep_routes({"other"})
-    assert made.spent("r", 3, 1100) == 0
+    made.keep({"other"}, {"desk"})
+    assert made.spent("r", 1100) == 0
     assert set(made.waits("desk").holds) == {"other"}
 
 
-def test_the_longest_time_that_callers_allow_is_forgotten_after_two_windows():
-    patience = Patience(10)
-    times = ((0, 9), (9, 5), (11, 5), (21, 5))
-    assert [patience.spent(at, left) for at, left in times] == [0, 4, 4, 0]
+def test_a_service_is_forgotten_once_nobody_waits_for_it_or_holds_a_slot():
+    made, one = Admission(), call()
+    made.started(one, 0)
+    made.keep(set(), set())
+    assert "desk" in made.services
+    made.freed(one, 1)
+    made.queue("desk").join(one)
+    made.keep(set(), set())
+    assert "desk" in made.services
+    made.queue("desk").leave(one)
+    made.keep(set(), {"desk"})
+    assert "desk" in made.services
+    made.keep(set(), set())
+    assert not made.services and not made.queues
+
+
+def test_a_few_callers_with_long_deadlines_make_no_second_tries_of_the_others():
+    patience = Patience()
+    spent = [patience.spent(60_000 if n % 20 == 5 else 1500) for n in range(200)]
+    assert spent[100:] == [0] * 100
+
+
+def test_while_one_in_five_is_a_first_try_it_is_told_from_the_others():
+    patience = Patience()
+    for n in range(200):
+        spent = patience.spent(1500 if n % 5 == 0 else 900)
+        assert n < 20 or spent == (0 if n % 5 == 0 else 600)
+
+
+def test_the_usual_time_follows_a_change():
+    patience = Patience()
+    for left in (1500, 700):
+        for _ in range(100):
+            spent = patience.spent(left)
+        assert spent == 0
 
 
 # ---------------------------------------------------------------- in the gate
@@ -190,7 +221,7 @@
     async def scenario(world):
         host = list(world.application)[0]
         gate = gate_of(world, host)
-        gate.admission.spent("low", now(), 2 * SECOND)
+        gate.admission.spent("low", 2 * SECOND)
         first = (await world.caller(host)).ask(b"/longlow/x", due_ms=None)
         await rest(20 * MILLI)
         believe_hold(gate, 20 * MILLI)
@@ -209,7 +240,7 @@
     async def scenario(world):
         host = list(world.application)[0]
         gate = gate_of(world, host)
-        gate.admission.spent("low", now(), 2 * SECOND)
+        gate.admission.spent("low", 2 * SECOND)
         first = (await world.caller(host)).ask(b"/longlow/x", due_ms=None)
         await rest(20 * MILLI)
         believe_hold(gate, 100 * MILLI)
@@ -229,7 +260,7 @@
 def test_a_peer_is_told_the_aim_and_orders_by_it():
     async def scenario(world):
         guest, there = list(world.application)
-        gate_of(world, guest).admission.spent("low", now(), 2 * SECOND)
+        gate_of(world, guest).admission.spent("low", 2 * SECOND)
         first = (await world.caller(there)).ask(b"/longlow/x", due_ms=None)
         await rest(20 * MILLI)
         believe_hold(gate_of(world, there), 20 * MILLI)
@@ -272,7 +303,7 @@
 def test_each_violation_is_counted_and_logged_once_a_second():
     logged = []
     found = Invariants(lambda number, **facts: logged.append((number, facts["invariant"])))
-    made = Admission(10 * SECOND)
+    made = Admission()
     made.queue("desk").join(call(rank=1))
     found.starting(call(rank=1, aim_due=5), made, 4)
     found.starting(call(rank=0, aim_due=5), made, 6)  # of a higher rank than who waits
