--- a/packages/mdgate/mdgate/admission.py
+++ b/packages/mdgate/mdgate/admission.py
@@ -14,6 +14,7 @@
 
 INTERVALS = 2  # of the load list, over which the slots held by other calls are averaged
 FIRST_SPAN_US = 500_000  # until a configuration is in force
+ROUTES_REMEMBERED = 1_000  # the latest used, of which the time that callers allow is known
 
 
 class Admission:
@@ -56,9 +57,10 @@
 
     def spent(self, route: str, left_us: int) -> int:
         """How much of its time a caller of this route has probably spent on earlier tries."""
-        patience = self.routes.get(route)
-        if patience is None:
-            patience = self.routes[route] = Patience()
+        patience = self.routes.pop(route, None) or Patience()
+        self.routes[route] = patience
+        if len(self.routes) > ROUTES_REMEMBERED:
+            del self.routes[next(iter(self.routes))]
         return patience.spent(left_us)
 
     # ------------------------------------------------------------ slots
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,7 +7,7 @@
 from test_gate_rules import HIGH, LOW, believe_hold, works
 from test_items import route
 
-from mdgate.admission import Admission
+from mdgate.admission import ROUTES_REMEMBERED, Admission
 from mdgate.call import Call
 from mdgate.figures import RankFigures
 from mdgate.invariants import IDLE_SLOT, LATE_FIRST, QUEUE_STANDS, SLOTS_DIFFER, Invariants
@@ -173,6 +173,17 @@
     assert set(made.waits("desk").holds) == {"other"}
 
 
+def test_the_routes_used_last_are_remembered():
+    made = Admission()
+    for number in range(ROUTES_REMEMBERED):
+        made.spent(str(number), 1500)
+    made.spent("0", 1500)
+    made.spent("one more", 1500)
+    assert made.spent("0", 1100) == 400
+    assert made.spent("1", 1100) == 0
+    assert len(made.routes) == ROUTES_REMEMBERED
+
+
 def test_a_service_is_forgotten_once_nobody_waits_for_it_or_holds_a_slot():
     made, one = Admission(), call()
     made.started(one, 0)
