--- a/packages/mdsoak/mdsoak/__main__.py
+++ b/packages/mdsoak/mdsoak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 import tempfile
 
@@ -40,6 +41,7 @@
 
 def main() -> None:
     """The command line."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # what was started is ended
     fire.Fire(Commands(), name="mdsoak")
 
 
