Plain path: a way's first hold time is smoothed from the first guess, as before; soak troubles at one host take turns

The whole suite found it: test_a_proxy_restarted_under_load_loses_no_call lost one call as busy, since a way's first call set the mean at once.

--- a/packages/mdproxy/mdproxy/walk.py
+++ b/packages/mdproxy/mdproxy/walk.py
@@ -53,7 +53,7 @@
 
     def ended(self, call, took_us):
         """A call held its slot for so long; the ways seen last are remembered."""
-        mean_us = self.hold_us.pop(call.way.name, took_us)
+        mean_us = self.hold_us.pop(call.way.name, FIRST_HOLD)
         self.hold_us[call.way.name] = mean_us + (took_us - mean_us) // SMOOTHED
         if len(self.hold_us) > REMEMBERED:
             del self.hold_us[next(iter(self.hold_us))]
--- a/packages/mdsoak/mdsoak/soak.py
+++ b/packages/mdsoak/mdsoak/soak.py
@@ -63,6 +63,8 @@
         troubles = draw(seed, plan.seconds, self.core, self.proxies, plan.troubles)
         self.result = Result(seed, troubles)
         self.cuts: list[tuple[str, ...]] = []
+        # a trouble that ends late must not meet the next one at its host
+        self.at_host = {host: trio.Lock() for host in [*self.core, *self.proxies]}
 
     # ------------------------------------------------------------ troubles
 
@@ -79,10 +81,12 @@
             self.traffic.losing.add(trouble.hosts[0])
             await rest(int(trouble.for_s * SECOND))
             self.traffic.losing.discard(trouble.hosts[0])
-        elif trouble.kind in PAUSES:
-            await self.pause(f"{PAUSES[trouble.kind]}-{trouble.hosts[0]}", trouble)
         else:
-            await self.kill(trouble)
+            async with self.at_host[trouble.hosts[0]]:
+                if trouble.kind in PAUSES:
+                    await self.pause(f"{PAUSES[trouble.kind]}-{trouble.hosts[0]}", trouble)
+                else:
+                    await self.kill(trouble)
 
     async def pause(self, name: str, trouble: Trouble) -> None:
         """SIGSTOP, and SIGCONT when it is over."""
