--- a/packages/mdfleet/mdfleet/fleet.py
+++ b/packages/mdfleet/mdfleet/fleet.py
@@ -83,20 +83,26 @@
         return handle
 
     def boot(self, role, host):
-        path = os.path.join(self.folder, "boot", f"{role}-{host}.toml")
-        seeds = [f"{h}:7411" for h in self.core[:3]]
-        lines = [
+        lines = self.boot_lines(host, [f"{h}:7411" for h in self.core[:3]])
+        if role == "mdconf":
+            lines += [
+                f"data = {json.dumps(os.path.join(self.folder, 'data', host))}",
+                f"members = {json.dumps([f'{h}:7421' for h in self.core])}",
+            ]
+        return self.write_boot(role, host, lines)
+
+    def boot_lines(self, host, seeds):
+        """What the boot files of all roles say."""
+        return [
             f'host = "{host}"',
             f'hall = "{self.hall(host)}"',
             f"seeds = {json.dumps(seeds)}",
             f"fleet_key_file = {json.dumps(os.path.join(self.folder, 'fleet.key'))}",
             f"nodes_expected = {len(self.application)}",
         ]
-        if role == "mdconf":
-            lines += [
-                f"data = {json.dumps(os.path.join(self.folder, 'data', host))}",
-                f"members = {json.dumps([f'{h}:7421' for h in self.core])}",
-            ]
+
+    def write_boot(self, role, host, lines):
+        path = os.path.join(self.folder, "boot", f"{role}-{host}.toml")
         with open(path, "w", encoding="utf-8") as file:
             file.write("\n".join(lines) + "\n")
         return path
--- a/packages/mdgate/mdgate/admission.py
+++ b/packages/mdgate/mdgate/admission.py
@@ -74,7 +74,7 @@
         self.waits(call.service).left(call.urgency, at)
 
     def learn(self, call: Call, took_us: int) -> None:
-        """The call was answered after holding its slot for so long."""
+        """The call held its slot for so long, until its answer or, without one, its deadline."""
         self.waits(call.service).hold(call.kind).learn(took_us)
 
     # ------------------------------------------------------------ waiting
--- a/packages/mdsoak/mdsoak/cuts.py
+++ b/packages/mdsoak/mdsoak/cuts.py
@@ -28,7 +28,7 @@
 
 
 class Cuts:
-    """The hosts that this process is cut off from. Invariant: healed is set iff there are none."""
+    """The hosts that this process is cut off from. changed is set, and made anew, at each change."""
 
     def __init__(self, path: str, host: str) -> None:
         self.path, self.host = path, host
--- a/packages/mdsoak/mdsoak/fleet.py
+++ b/packages/mdsoak/mdsoak/fleet.py
@@ -36,15 +36,7 @@
 
     def boot(self, role: str, host: str) -> str:
         """Write a boot file; gives its path."""
-        path = os.path.join(self.folder, "boot", f"{role}-{host}.toml")
-        seeds = [f"{h}:7421" for h in self.core[:3]]
-        lines = [
-            f'host = "{host}"',
-            f'hall = "{self.hall(host)}"',
-            f"seeds = {json.dumps(seeds)}",
-            f"fleet_key_file = {json.dumps(os.path.join(self.folder, 'fleet.key'))}",
-            f"nodes_expected = {len(self.application)}",
-        ]
+        lines = self.boot_lines(host, [f"{h}:7421" for h in self.core[:3]])
         if role == "mdconf":
             lines += [
                 f"data = {json.dumps(os.path.join(self.folder, 'data', host))}",
@@ -56,9 +48,7 @@
                 f'service = "{SERVICE}"',
                 f"tries = {{ ratio = 0.2, window_us = 10000000, reserve = {RESERVE} }}",
             ]
-        with open(path, "w", encoding="utf-8") as file:
-            file.write("\n".join(lines) + "\n")
-        return path
+        return self.write_boot(role, host, lines)
 
     def start_daemon(self, role: str, host: str) -> subprocess.Popen:
         """Start one process of a role."""
