Soak: log reader takes lines that a kill has torn; an event is one write

Cause: with unbuffered output print() writes an event's text and its newline by two writes. A process killed between them, or inside the text, leaves a line on which its next start goes on, and log_events took each line for one JSON object. Change: Log writes text and newline at once; meadowdock.soak.log_reader reads all events of a line, tells the number of a torn one where it was written, and reports whatever else stands there as before.

--- a/packages/logs/meadowdock/logs/log.py
+++ b/packages/logs/meadowdock/logs/log.py
@@ -41,4 +41,6 @@
         }
         if self.timed:
             line["timestamp"] = datetime.now(UTC).isoformat().replace("+00:00", "Z")
-        print(json.dumps(line, default=str), file=self.file, flush=True)
+        # one write, so that a kill doesn't leave a whole event without its newline
+        self.file.write(json.dumps(line, default=str) + "\n")
+        self.file.flush()
--- a/packages/soak/meadowdock/soak/fleet.py
+++ b/packages/soak/meadowdock/soak/fleet.py
@@ -8,6 +8,7 @@
 
 from meadowdock.local_fleet.fleet import Fleet
 from meadowdock.soak.cuts import write_partitions
+from meadowdock.soak.log_reader import read_logs
 
 GATEWAY_PORT, SERVICE, ENDPOINT_CAPACITY = 7405, "desk", 6
 RETRY_RESERVE = 60  # retries per window that the fleet may make beyond its ratio of the requests
@@ -71,23 +72,24 @@
         """Partition exactly these pairs of hosts from each other."""
         write_partitions(self.partitions_file, pairs)
 
+    @property
+    def logs_folder(self) -> str:
+        """Path of the folder with the log of each process."""
+        return os.path.join(self.folder, "logs")
+
     def log_events(self, *numbers: int) -> list[dict]:
         """Return all log events of these numbers, of every run of every process."""
-        found = []
-        folder = os.path.join(self.folder, "logs")
-        for name in sorted(os.listdir(folder)):
-            with open(os.path.join(folder, name), encoding="utf-8") as file:
-                for line in file:
-                    event = json.loads(line) if line.startswith("{") else {}
-                    if event.get("number") in numbers:
-                        found.append(event)
-        return found
+        return [
+            event
+            for _, line in read_logs(self.logs_folder)
+            for event in line.events
+            if event["number"] in numbers
+        ]
 
     def tracebacks(self) -> list[str]:
-        """Return the lines of the logs that are not events, such as tracebacks of a crash."""
-        found = []
-        folder = os.path.join(self.folder, "logs")
-        for name in sorted(os.listdir(folder)):
-            with open(os.path.join(folder, name), encoding="utf-8") as file:
-                found += [f"{name}: {line.rstrip()}" for line in file if not line.startswith("{")]
-        return found
+        """Return the texts in the logs that are not events, such as tracebacks of a crash."""
+        return [
+            f"{name}: {line.other_text}"
+            for name, line in read_logs(self.logs_folder)
+            if line.other_text
+        ]
