Sight of a stop: what is unanswered at each step, and where each request was at the end

Change: event 106 at each step of a proxy's stop, with the requests of callers, calls of peers, connections and half-read requests; event 107 for each request or peer's call that ends unanswered (20 at most a stop): where it was, when it came after the signal, and which request of its connection kept its answer back. No logic changes.

--- a/packages/logs/meadowdock/logs/catalogue.py
+++ b/packages/logs/meadowdock/logs/catalogue.py
@@ -33,6 +33,12 @@
     log_events.TASK_FAILED: EventKind(
         "task_failed", "a background task failed with an unexpected error and was started again"
     ),
+    log_events.SHUTDOWN_PROGRESS: EventKind(
+        "shutdown_progress", "a stopping proxy begins a step: says which, and what is unanswered"
+    ),
+    log_events.REQUEST_UNANSWERED: EventKind(
+        "request_unanswered", "the process ends before a request has its answer: says where it was"
+    ),
     log_events.CONNECTION_REJECTED: EventKind(
         "connection_rejected", "a peer failed the proof of the fleet key, or sent a malformed frame"
     ),
--- a/packages/process/meadowdock/process/daemon.py
+++ b/packages/process/meadowdock/process/daemon.py
@@ -53,5 +53,8 @@
     async def drain(self) -> None:
         """Wait until no work is in flight."""
 
+    def report_unanswered(self) -> None:
+        """Log the requests that get no answer, after the time for them is over."""
+
     def abort_requests(self) -> None:
         """Abort the requests in flight, after a second signal requested an immediate stop."""
--- a/packages/process/meadowdock/process/shutdown.py
+++ b/packages/process/meadowdock/process/shutdown.py
@@ -32,14 +32,15 @@
 class GracefulShutdown:
     """The shutdown of one node.
 
-    Invariant: deadline is None until the shutdown begins, and then a monotonic time in
-    microseconds.
+    Invariant: started_at and deadline are None until the shutdown begins, and then monotonic times
+    in microseconds.
     """
 
     def __init__(self, node: Node) -> None:
         self.node = node
         self.linger_us = getattr(node.settings, "linger_us", DEFAULT_LINGER_US)
         self.timeout_us = getattr(node.settings, "stop_us", DEFAULT_TIMEOUT_US)
+        self.started_at: int | None = None
         self.deadline: int | None = None
         self.requested, self.abort_requested = trio.Event(), trio.Event()
 
@@ -56,7 +57,8 @@
         node.log(log_events.STOPPING, requests_in_flight=node.listeners.requests_in_flight())
         node.stopping = True
         node.listeners.end_connections()
-        self.deadline = monotonic_us() + self.timeout_us
+        self.started_at = monotonic_us()
+        self.deadline = self.started_at + self.timeout_us
         with deadline_scope(self.deadline):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.abort_when_requested, nursery.cancel_scope)
@@ -68,6 +70,7 @@
         node.listeners.closing.set()
         with deadline_scope(max(self.deadline, monotonic_us()) + LAST_REQUESTS_US):
             await node.listeners.closed.wait()
+        node.daemon.report_unanswered()
         node.log(log_events.STOPPED, requests_in_flight=node.listeners.requests_in_flight())
         node.nursery.cancel_scope.cancel()
 
--- a/packages/proxy/meadowdock/proxy/gateway.py
+++ b/packages/proxy/meadowdock/proxy/gateway.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import asdict
 from typing import Any
 
 import trio
@@ -14,7 +15,13 @@
 from meadowdock.configuration import RoutingTable
 from meadowdock.configuration.schema import DEFAULT_LOAD
 from meadowdock.forwarding import Dialect, Gateway, Reactor, SocketNetwork
+from meadowdock.forwarding.unanswered import (
+    log_unanswered,
+    unanswered_requests,
+    work_in_progress,
+)
 from meadowdock.load_sharing import LoadList
+from meadowdock.logs import events as log_events
 from meadowdock.proxy.endpoints import ServiceReport
 from meadowdock.proxy.gateway_endpoints import EndpointHeartbeat, GatewayEndpoints
 from meadowdock.proxy.messages import NodesByService
@@ -121,8 +128,10 @@
         The listeners are closed once no calls arrive any more.
         """
         self.closing_listeners = True
+        self.log_progress("leaving the rotation")
         await self.heartbeats.send()
         await self.wait_until_quiet()
+        self.log_progress("closing the listener")
         self.closing.set()
         await sleep_us(QUIET_US // 4)
         self.gateway.close_idle_connections()
@@ -132,6 +141,24 @@
         await sleep_us(FLUSH_US)
         await super().drain()
 
+    def log_progress(self, step: str) -> None:
+        """Log that a step of the shutdown begins, with the work that has no answer yet."""
+        started_at = self.node.shutdown.started_at
+        assert started_at is not None
+        self.node.log(
+            log_events.SHUTDOWN_PROGRESS,
+            step=step,
+            after_ms=(monotonic_us() - started_at) // MILLISECOND,
+            **asdict(work_in_progress(self.gateway)),
+        )
+
+    def report_unanswered(self) -> None:
+        """Log the requests that get no answer because this process ends."""
+        self.log_progress("ending")
+        started_at = self.node.shutdown.started_at
+        assert started_at is not None
+        log_unanswered(unanswered_requests(self.gateway), self.node.log, started_at)
+
     async def wait_until_quiet(self) -> None:
         """Wait until no call has arrived for QUIET_US, or the stop is near."""
         wait_end = self.node.shutdown.deadline - STOP_MARGIN_US
