Requests behind the answer that closes a caller's connection don't run

Callers saw: a request sent in one packet behind another ran, and its answer was never sent, if the one before it was answered at once and that answer closed the connection (after the signal, each answer does). Cause: all requests of a packet were dispatched, though the answer to the first had ended the connection. Evidence: test_a_request_behind_the_last_answer_of_a_connection_does_not_run fails before (the run-once request ran, unanswered) and passes after. Why this works: what stands behind the last answer counts as not read, so callers send it again.

--- a/packages/forwarding/meadowdock/forwarding/downstream.py
+++ b/packages/forwarding/meadowdock/forwarding/downstream.py
@@ -70,6 +70,8 @@
             self.partial_request_since = 0  # the next request has only begun to arrive now
             complete, requests.complete = requests.complete, []
             for request in complete:
+                if self.reading_ended:  # the caller sends what is behind the last answer again
+                    break
                 self.gateway.on_request(self, request)
         if requests.error_status:
             self.end_with_error(requests.error_status, "the request can't be read")
--- a/tests/forwarding/test_requests_at_a_stop.py
+++ b/tests/forwarding/test_requests_at_a_stop.py
@@ -111,3 +111,18 @@
         assert first.status == 502  # it may have run
 
     gated(scenario, items=default_items(LONG), endpoint={"work_us": work_us})
+
+
+def test_a_request_behind_the_last_answer_of_a_connection_does_not_run():
+    async def scenario(world):
+        host = next(iter(world.application))
+        caller = await world.caller(host)
+        world.daemon("mdproxy", host).gateway.closing = True  # as from the signal on
+        unknown = caller.ask(b"/unknown/x", send=False)
+        behind = caller.ask(b"/once/x", send=False)
+        caller.wire.send(unknown.data + behind.data)
+        await behind.done.wait()
+        assert (unknown.status, unknown.line(b"Connection")) == (404, b"close")
+        assert behind.status == 0 and behind.id not in executed_ids(world)
+
+    gated(scenario, application=("desk",), endpoint={"work_us": work_us})
