A stop reads no more requests from a caller's connection that has one pending

Callers saw: a closed connection, no answer, for requests that were taken up to the last moment of a stop (the users' record: 5.16 s after SIGTERM, cut at 5.32 s). Cause: a connection was closed only when nothing on it was pending or half read. With pipelined requests that never happens, so it was read, and its requests passed on, until the process was gone. Why this works: from the signal on, what is read behind a pending request is dropped, and the last answer closes the connection; callers send what they have sent behind it again. A connection now ends with the answers to what was read.

--- a/packages/forwarding/meadowdock/forwarding/downstream.py
+++ b/packages/forwarding/meadowdock/forwarding/downstream.py
@@ -62,6 +62,7 @@
 
     def on_data(self, data: bytes) -> None:
         """Handle bytes from the caller."""
+        self.end_reading_if_closing()
         if self.reading_ended:
             return
         requests = self.requests
@@ -73,6 +74,7 @@
                 if self.reading_ended:  # the caller sends what is behind the last answer again
                     break
                 self.gateway.on_request(self, request)
+            self.end_reading_if_closing()
         if requests.error_status:
             self.end_with_error(requests.error_status, "the request can't be read")
         self.send_continue()
@@ -87,6 +89,16 @@
         ):
             self.connection.pause()
 
+    def end_reading_if_closing(self) -> None:
+        """Read no further requests while this node stops and one is pending.
+
+        The answer to the last of those that were read closes the connection, so that the caller sends
+        what it has sent behind it again, elsewhere. Without this, a connection on which a request
+        is always pending would be used until the process is gone.
+        """
+        if self.gateway.closing and self.pending:
+            self.reading_ended = True
+
     def send_continue(self) -> None:
         """Send "100 Continue" to a caller that expects it, once earlier requests are answered."""
         requests = self.requests
@@ -182,10 +194,9 @@
     def is_last_answer(self) -> bool:
         """Return whether the connection is closed after this response because of a shutdown.
 
-        Requests that were already received on the connection are answered first, as their caller
-        would have to send them again.
+        Requests that were already read are answered first, as they may run.
         """
-        return self.gateway.closing and not self.pending and not self.requests.in_progress
+        return self.gateway.closing and not self.pending
 
     def check_timeouts(self, now: int) -> None:
         """Enforce the time-outs for request heads, idle connections and blocked writes."""
