A stop waits for the answers on connections that are about to close

Callers saw: an answer that ends early, if they read slowly and their node stopped meanwhile. Cause: a connection whose last answer was handed over left the gateway's set at once, with its unsent bytes; so the drain took the node for idle and the process ended 0.1 s later. Outcomes for peers weren't counted either. Evidence: test_a_stop_waits_until_the_last_answer_of_a_connection_is_read fails before with 900 kB and passes after. Why this works: the drain asks the network whether any open connection has bytes that the other side hasn't taken.

--- a/packages/forwarding/meadowdock/forwarding/downstream.py
+++ b/packages/forwarding/meadowdock/forwarding/downstream.py
@@ -229,10 +229,6 @@
         idle_us = self.gateway.limits.idle_us
         return min(idle_us, KEEP_ALIVE_US) if self.keep_alive_sent else idle_us
 
-    def has_pending_work(self) -> bool:
-        """Return whether a request is pending or a response is not completely sent."""
-        return bool(self.pending or self.connection.unsent_size)
-
     def close_if_idle(self) -> None:
         """Close the connection if it has no pending request; called at shutdown."""
         if not self.pending and not self.requests.in_progress:
--- a/packages/forwarding/meadowdock/forwarding/gateway.py
+++ b/packages/forwarding/meadowdock/forwarding/gateway.py
@@ -62,7 +62,7 @@
         log: Logger,
         retry_budgets: RetryBudgets,
     ) -> None:
-        self.reactor, self.dialect = reactor, dialect
+        self.network, self.reactor, self.dialect = network, reactor, dialect
         self.call_id_name = dialect.call_id.lower()
         self.caller_name = (settings.service or DEFAULT_CALLER_NAME).encode()
         self.table: ItemTable | None = None
@@ -178,7 +178,12 @@
             connection.close_if_idle()
 
     def has_pending_work(self) -> bool:
-        """Return whether a call is in progress or a response is not completely sent."""
-        return bool(self.dispatcher.calls) or any(
-            each.has_pending_work() for each in self.connections
+        """Return whether a call is in progress, or an answer is not completely sent.
+
+        Answers on connections that are closed after them count as well, and outcomes for peers.
+        """
+        return (
+            bool(self.dispatcher.calls)
+            or any(each.pending for each in self.connections)
+            or self.network.has_unsent_output()
         )
--- a/packages/forwarding/meadowdock/forwarding/interfaces.py
+++ b/packages/forwarding/meadowdock/forwarding/interfaces.py
@@ -131,3 +131,6 @@
 
     def dial(self, address: str, deadline: int, owner: Any, /) -> None:
         """Connect and call the owner's on_open(connection) or on_fail(cause)."""
+
+    def has_unsent_output(self) -> bool:
+        """Return whether an open connection has buffered bytes that the other side has not taken."""
--- a/packages/forwarding/meadowdock/forwarding/sockets.py
+++ b/packages/forwarding/meadowdock/forwarding/sockets.py
@@ -197,6 +197,10 @@
         self.connection_type = connection_type
         self.open: set[SocketConnection] = set()
 
+    def has_unsent_output(self) -> bool:
+        """Return whether an open connection has bytes that the kernel has not accepted yet."""
+        return any(connection.unsent_size for connection in self.open)
+
     def adopt(self, sock: socket.socket, peer: str = "") -> SocketConnection:
         """Return a connection over an open socket."""
         sock.setblocking(False)
--- a/packages/simulator/meadowdock/simulator/wires.py
+++ b/packages/simulator/meadowdock/simulator/wires.py
@@ -214,6 +214,9 @@
         self.nursery, self.reactor = nursery, reactor
         self.open = {}  # used as an ordered set
 
+    def has_unsent_output(self):
+        return any(wire.unsent_size for wire in self.open)
+
     def create_wire(self, peer):
         wire = SimWire(self, peer)
         self.open[wire] = None
--- a/tests/forwarding/test_requests_at_a_stop.py
+++ b/tests/forwarding/test_requests_at_a_stop.py
@@ -126,3 +126,20 @@
         assert behind.status == 0 and behind.id not in executed_ids(world)
 
     gated(scenario, application=("desk",), endpoint={"work_us": work_us})
+
+
+@pytest.mark.parametrize("size", (100_000, 900_000))
+def test_a_stop_waits_until_the_last_answer_of_a_connection_is_read(size):
+    async def scenario(world):
+        host = next(iter(world.application))
+        world.ends[host].size = size
+        caller = await world.caller(host)
+        call = caller.ask(b"/p/x")
+        caller.wire.pause()  # the caller reads nothing for a second
+        world.nursery.start_soon(world.stop, f"mdproxy@{host}")
+        await sleep_us(2 * SECOND)
+        caller.wire.resume()
+        await call.done.wait()
+        assert call.status == 200 and len(call.answer) > size
+
+    gated(scenario, application=("desk",), endpoint={"work_us": work_us})
