A stop takes no call after its drain began to wait, of callers or of peers

Callers saw: 502 for a request whose run was cut off, 3.1 to 3.4 s after their own node's SIGTERM, and 5 s after it closed connections. Cause: the drain asked whether any call was in progress, while new calls of peers were still taken. It ended at a moment without one, or went on to the deadline under a steady stream; what came after that moment was cut when the process ended. Class: a check for quiescence while admission is open. Change: once the listener closes, new calls are rejected as not run ("stopping"); peers place them elsewhere. Peers' calls that could outlast the stop are rejected from the end of the linger on. The listener closes 0.6 s after the linger at the latest and leaves two fifths of the time to what was taken last, where it was one second. Why this works: from then on the number of calls only falls, so that "none in progress" stays true until the process is gone.

--- a/packages/forwarding/meadowdock/forwarding/dispatcher.py
+++ b/packages/forwarding/meadowdock/forwarding/dispatcher.py
@@ -23,11 +23,13 @@
     DEADLINE_PASSED,
     NO_ANSWER,
     NO_ENDPOINT,
+    STOPPING,
 )
 from meadowdock.forwarding.peer_calls import PeerCalls
 from meadowdock.forwarding.peer_frames import CALL_MAX_BYTES
 from meadowdock.forwarding.placement import Thresholds, ZonePlacement, local_state
 from meadowdock.forwarding.queueing import Queueing
+from meadowdock.forwarding.reactor import NEVER_US
 from meadowdock.forwarding.retries import RetryPolicy, final_outcome, rejection_for_peer
 from meadowdock.load_sharing import LOCAL, Choice
 from meadowdock.runtime import monotonic_us
@@ -45,7 +47,11 @@
     """Handles all calls of this node, those of local callers and those that peers relocated here.
 
     Invariants: calls holds every call that arrived or was relocated here and has no outcome yet; a
-    call is in one place at a time: in a queue, at a local endpoint, or at a peer.
+    call is in one place at a time: in a queue, at a local endpoint, or at a peer; once `taking` is
+    False, calls only shrinks.
+
+    :ivar taking: whether new calls are taken, of callers and of peers
+    :ivar last_peer_deadline: us, monotonic clock; new calls of peers with a later deadline are rejected
     """
 
     def __init__(
@@ -67,6 +73,8 @@
         self.invariants = Invariants(log)
         self.counts: Counter[str] = Counter()
         self.calls: set[Call] = set()
+        self.taking = True
+        self.last_peer_deadline = NEVER_US
         self.queueing = Queueing(self)
         self.local_calls = LocalCalls(self)
         self.peer_calls = PeerCalls(self)
@@ -78,6 +86,9 @@
         self.call_statistics.count_arrival(call)
         self.retries.budget(call.service).deposit(now)
         self.calls.add(call)
+        if not self.taking:
+            self.reject(call, STOPPING)
+            return
         self.place(call)
 
     def dispatch_relocated(self, call: Call) -> None:
@@ -91,6 +102,9 @@
         if monotonic_us() >= call.deadline:
             self.finish(call, Rejected(DEADLINE_PASSED, 0))
             return
+        if not self.taking or call.deadline > self.last_peer_deadline:
+            self.finish(call, Rejected(STOPPING, 0))
+            return
         endpoint = self.endpoint_for(call)
         if endpoint is None:
             self.finish(call, Rejected(NO_ENDPOINT, 0))
--- a/packages/forwarding/meadowdock/forwarding/gateway.py
+++ b/packages/forwarding/meadowdock/forwarding/gateway.py
@@ -172,6 +172,17 @@
         self.dispatcher.local_calls.close_expired(now)
         self.reactor.end_turn()
 
+    def limit_peers(self, last_deadline: int) -> None:
+        """Take only those new calls of peers that end in time, as peers can place others elsewhere.
+
+        :param last_deadline: us, monotonic clock
+        """
+        self.dispatcher.last_peer_deadline = last_deadline
+
+    def stop_taking(self) -> None:
+        """Reject all new calls from now on, of callers and of peers."""
+        self.dispatcher.taking = False
+
     def close_idle_connections(self) -> None:
         """Close the connections of callers that have no pending request."""
         for connection in list(self.connections):
--- a/packages/forwarding/meadowdock/forwarding/outcome_codes.py
+++ b/packages/forwarding/meadowdock/forwarding/outcome_codes.py
@@ -12,6 +12,7 @@
 CANCELLED = "cancelled"  # the caller disconnected; also a code of unknown outcomes
 CONNECT_FAILED = "unreached"  # no connection to the endpoint could be opened
 REJECTED_BY_ENDPOINT = "turned_away"  # sent by a peer whose endpoint refused to run the request
+STOPPING = "stopping"  # this node stops and could not answer in time; also of unknown outcomes
 NO_CONFIGURATION = "no_manifest"  # this node has no active configuration yet
 
 # Codes of unknown outcomes: the request may have run.
--- a/packages/process/meadowdock/process/shutdown.py
+++ b/packages/process/meadowdock/process/shutdown.py
@@ -12,7 +12,7 @@
 import trio
 
 from meadowdock.logs import events as log_events
-from meadowdock.runtime import MILLISECOND, SECOND, deadline_scope, monotonic_us, sleep_us
+from meadowdock.runtime import MILLISECOND, deadline_scope, monotonic_us, sleep_us
 
 if TYPE_CHECKING:
     from meadowdock.process.node import Node
@@ -23,8 +23,10 @@
 DEFAULT_TIMEOUT_US = 4_700 * MILLISECOND
 # Listeners stay open until no request has arrived for this long, for callers that ignore readiness.
 QUIET_PERIOD_US = 200 * MILLISECOND
-# Listeners are closed this long before the deadline, even if requests still arrive.
-DRAIN_RESERVE_US = SECOND
+# Listeners are closed this long after the linger at the latest, even if requests still arrive, and
+# leave this part of the time limit for the requests that were taken last.
+QUIET_TIMEOUT_US = 600 * MILLISECOND
+DRAIN_RESERVE = 0.4
 # Extra time after the deadline for requests that arrived just before the listeners were closed.
 LAST_REQUESTS_US = 400 * MILLISECOND
 
@@ -32,8 +34,10 @@
 class GracefulShutdown:
     """The shutdown of one node.
 
-    Invariant: started_at and deadline are None until the shutdown begins, and then monotonic times
-    in microseconds.
+    Invariant: started_at, deadline and close_by are None until the shutdown begins, and then
+    monotonic times in microseconds.
+
+    :ivar close_by: when no new request is taken any more, at the latest
     """
 
     def __init__(self, node: Node) -> None:
@@ -42,6 +46,7 @@
         self.timeout_us = getattr(node.settings, "stop_us", DEFAULT_TIMEOUT_US)
         self.started_at: int | None = None
         self.deadline: int | None = None
+        self.close_by: int | None = None
         self.requested, self.abort_requested = trio.Event(), trio.Event()
 
     def on_signal(self) -> None:
@@ -59,11 +64,15 @@
         node.listeners.end_connections()
         self.started_at = monotonic_us()
         self.deadline = self.started_at + self.timeout_us
+        self.close_by = min(
+            self.started_at + self.linger_us + QUIET_TIMEOUT_US,
+            self.deadline - int(DRAIN_RESERVE * self.timeout_us),
+        )
         with deadline_scope(self.deadline):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.abort_when_requested, nursery.cancel_scope)
                 await self.linger()
-                await self.wait_for_quiet(self.deadline - DRAIN_RESERVE_US)
+                await self.wait_for_quiet(self.close_by)
                 await node.daemon.drain()
                 await node.listeners.wait_idle()
                 nursery.cancel_scope.cancel()
--- a/packages/proxy/meadowdock/proxy/gateway.py
+++ b/packages/proxy/meadowdock/proxy/gateway.py
@@ -27,7 +27,7 @@
 from meadowdock.proxy.messages import NodesByService
 from meadowdock.proxy.retry_budget import RetryBudget
 from meadowdock.proxy.server import ProxyServer
-from meadowdock.runtime import MILLISECOND, SECOND, monotonic_us, sleep_us
+from meadowdock.runtime import MILLISECOND, deadline_scope, monotonic_us, sleep_us
 
 # An endpoint that misses this many heartbeats in a row is removed a third of an interval later.
 MAX_MISSED_HEARTBEATS = 3
@@ -42,7 +42,6 @@
 QUIET_US = 200 * MILLISECOND
 DRAIN_POLL_US = 10 * MILLISECOND
 FLUSH_US = 50 * MILLISECOND  # for the last responses to be sent
-STOP_MARGIN_US = SECOND  # the wait for quiet ends this long before the shutdown deadline
 
 
 class GatewayProxy(ProxyServer):
@@ -125,15 +124,22 @@
     async def drain(self) -> None:
         """Leave the rotation, and wait until no call is in flight.
 
-        The listeners are closed once no calls arrive any more.
+        The listener for callers is closed once no calls arrive any more. After that no call is
+        taken, of callers or of peers, so that a node without calls stays so until it ends.
         """
+        shutdown = self.node.shutdown
+        assert shutdown.deadline is not None
+        assert shutdown.close_by is not None
         self.closing_listeners = True
+        self.gateway.limit_peers(shutdown.deadline)
         self.log_progress("leaving the rotation")
-        await self.heartbeats.send()
-        await self.wait_until_quiet()
+        with deadline_scope(shutdown.close_by):
+            await self.heartbeats.send()
+            await self.wait_until_quiet()
         self.log_progress("closing the listener")
         self.closing.set()
         await sleep_us(QUIET_US // 4)
+        self.gateway.stop_taking()
         self.gateway.close_idle_connections()
         while self.gateway.has_pending_work():
             self.gateway.close_idle_connections()
@@ -160,11 +166,8 @@
         log_unanswered(unanswered_requests(self.gateway), self.node.log, started_at)
 
     async def wait_until_quiet(self) -> None:
-        """Wait until no call has arrived for QUIET_US, or the stop is near."""
-        wait_end = self.node.shutdown.deadline - STOP_MARGIN_US
-        while (
-            monotonic_us() - self.gateway.last_arrival_at < QUIET_US and monotonic_us() < wait_end
-        ):
+        """Wait until no call has arrived for QUIET_US."""
+        while monotonic_us() - self.gateway.last_arrival_at < QUIET_US:
             await sleep_us(QUIET_US // 4)
 
     @property
