The end of a stop answers every request that is left

Cause: at the deadline, and at a second signal, the process just ended; only the product's own interface ended its calls. Three tests fail before: answers behind a long request, a call that still waits, a second signal. Why this works: answers leave in order, so an answer to the first request frees all that wait behind it.

--- a/packages/forwarding/meadowdock/forwarding/dispatcher.py
+++ b/packages/forwarding/meadowdock/forwarding/dispatcher.py
@@ -247,6 +247,30 @@
         elif call.endpoint is not None:
             self.local_calls.cancel(call, call.endpoint)
 
+    def end_calls(self) -> None:
+        """Give every call an outcome now, because the process ends.
+
+        Calls that wait come first, so that none of them starts in a slot that another call frees.
+        """
+        self.taking = False
+        for call in sorted(self.calls, key=lambda each: each.queue is None):
+            if call.on_outcome is not None:
+                self.end(call)
+
+    def end(self, call: Call) -> None:
+        """End a call wherever it is: rejected if it was never sent, else with an unknown outcome."""
+        sent = False
+        if call.queue is not None:
+            self.queueing.remove(call)
+        elif call.peer_link is not None:
+            sent = self.peer_calls.abandon(call, call.peer_link)
+        elif call.endpoint is not None:
+            sent = self.local_calls.abandon(call, call.endpoint)
+        if sent:
+            self.finish(call, OutcomeUnknown(STOPPING))
+        else:
+            self.reject(call, STOPPING)
+
     def reject(self, call: Call, code: str) -> None:
         """Reject a call for which there is no capacity in time."""
         self.finish(call, final_outcome(call, code, monotonic_us()))
--- a/packages/forwarding/meadowdock/forwarding/gateway.py
+++ b/packages/forwarding/meadowdock/forwarding/gateway.py
@@ -183,6 +183,12 @@
         """Reject all new calls from now on, of callers and of peers."""
         self.dispatcher.taking = False
 
+    def end_calls(self) -> None:
+        """Answer everything that is pending now, because the process ends."""
+        self.dispatcher.end_calls()
+        self.close_idle_connections()
+        self.reactor.end_turn()
+
     def close_idle_connections(self) -> None:
         """Close the connections of callers that have no pending request."""
         for connection in list(self.connections):
--- a/packages/forwarding/meadowdock/forwarding/local_calls.py
+++ b/packages/forwarding/meadowdock/forwarding/local_calls.py
@@ -96,6 +96,12 @@
             self.free_slot(call, monotonic_us())
             self.dispatcher.finish(call, OutcomeUnknown(CANCELLED))
 
+    def abandon(self, call: Call, endpoint: Endpoint) -> bool:
+        """Close the connection of a call; return whether the call was sent to the endpoint."""
+        sent = self.pool(endpoint).abort(call)
+        self.free_slot(call, monotonic_us())
+        return sent
+
     def close_expired(self, now: int) -> None:
         """Close expired idle connections and the pools of removed endpoints."""
         for key, pool in list(self.pools.items()):
--- a/packages/forwarding/meadowdock/forwarding/peer_calls.py
+++ b/packages/forwarding/meadowdock/forwarding/peer_calls.py
@@ -99,6 +99,13 @@
             link.abandon(call)
             self.dispatcher.on_outcome_unknown(call, NO_ANSWER)
 
+    def abandon(self, call: Call, link: OutgoingLink) -> bool:
+        """Stop waiting for a peer's answer; return whether the call was sent to the peer."""
+        sent = not link.is_unsent(call)
+        self.detach(call)
+        link.abandon(call)
+        return sent
+
     def cancel(self, call: Call, link: OutgoingLink) -> None:
         """Cancel a call whose caller has disconnected.
 
--- a/packages/forwarding/meadowdock/forwarding/peer_link.py
+++ b/packages/forwarding/meadowdock/forwarding/peer_link.py
@@ -237,6 +237,10 @@
         else:
             peers.dispatcher.on_outcome_unknown(call, outcome.code)
 
+    def is_unsent(self, call: Call) -> bool:
+        """Return whether a call still waits for the link to be ready."""
+        return call.peer_handle in self.unsent
+
     def abandon(self, call: Call) -> None:
         """Forget a call whose outcome is not needed; if it is unsent, it is never sent."""
         handle = call.peer_handle
--- a/packages/logs/meadowdock/logs/catalogue.py
+++ b/packages/logs/meadowdock/logs/catalogue.py
@@ -37,7 +37,7 @@
         "shutdown_progress", "a stopping proxy begins a step: says which, and what is unanswered"
     ),
     log_events.REQUEST_UNANSWERED: EventKind(
-        "request_unanswered", "the process ends before a request has its answer: says where it was"
+        "request_unanswered", "a stop ends a request that has no answer yet: says where it was"
     ),
     log_events.CONNECTION_REJECTED: EventKind(
         "connection_rejected", "a peer failed the proof of the fleet key, or sent a malformed frame"
--- a/packages/process/meadowdock/process/daemon.py
+++ b/packages/process/meadowdock/process/daemon.py
@@ -57,4 +57,10 @@
         """Log the requests that get no answer, after the time for them is over."""
 
     def abort_requests(self) -> None:
-        """Abort the requests in flight, after a second signal requested an immediate stop."""
+        """End the requests that are still in flight, each with an answer.
+
+        Called after the drain, when its time is over or a second signal requested an immediate stop.
+        """
+
+    async def flush(self) -> None:
+        """Wait until the answers of `abort_requests` are sent."""
--- a/packages/process/meadowdock/process/shutdown.py
+++ b/packages/process/meadowdock/process/shutdown.py
@@ -76,18 +76,19 @@
                 await node.daemon.drain()
                 await node.listeners.wait_idle()
                 nursery.cancel_scope.cancel()
+        node.daemon.report_unanswered()
+        node.daemon.abort_requests()
         node.listeners.closing.set()
         with deadline_scope(max(self.deadline, monotonic_us()) + LAST_REQUESTS_US):
+            await node.daemon.flush()
             await node.listeners.closed.wait()
-        node.daemon.report_unanswered()
         node.log(log_events.STOPPED, requests_in_flight=node.listeners.requests_in_flight())
         node.nursery.cancel_scope.cancel()
 
     async def abort_when_requested(self, scope: trio.CancelScope) -> None:
-        """Wait for a second signal, then abort the requests in flight and cancel the scope."""
+        """Wait for a second signal, then end the drain."""
         await self.abort_requested.wait()
         self.node.log(log_events.SHUTDOWN_ABORTED)
-        self.node.daemon.abort_requests()
         scope.cancel()
 
     async def linger(self) -> None:
--- a/packages/proxy/meadowdock/proxy/gateway.py
+++ b/packages/proxy/meadowdock/proxy/gateway.py
@@ -144,9 +144,19 @@
         while self.gateway.has_pending_work():
             self.gateway.close_idle_connections()
             await sleep_us(DRAIN_POLL_US)
-        await sleep_us(FLUSH_US)
         await super().drain()
 
+    def abort_requests(self) -> None:
+        """End the calls in flight now: those that were not sent are rejected."""
+        super().abort_requests()
+        self.gateway.end_calls()
+
+    async def flush(self) -> None:
+        """Wait until all answers are sent, and for the other side to receive them."""
+        while self.sockets.has_unsent_output():
+            await sleep_us(DRAIN_POLL_US)
+        await sleep_us(FLUSH_US)
+
     def log_progress(self, step: str) -> None:
         """Log that a step of the shutdown begins, with the work that has no answer yet."""
         started_at = self.node.shutdown.started_at
@@ -162,7 +172,7 @@
         """Log the requests that get no answer because this process ends."""
         self.log_progress("ending")
         started_at = self.node.shutdown.started_at
-        assert started_at is not None
+        assert started_at is not None  # set before the drain
         log_unanswered(unanswered_requests(self.gateway), self.node.log, started_at)
 
     async def wait_until_quiet(self) -> None:
--- a/tests/forwarding/test_requests_at_a_stop.py
+++ b/tests/forwarding/test_requests_at_a_stop.py
@@ -7,7 +7,7 @@
 from gates import SEEDS, default_items, gated
 from item_builders import route
 
-from meadowdock.runtime import MILLISECOND, SECOND, sleep_us
+from meadowdock.runtime import MILLISECOND, SECOND, monotonic_us, sleep_us
 
 LONG_US = 20 * SECOND
 WORK_US = 60 * MILLISECOND
@@ -113,6 +113,42 @@
     gated(scenario, items=default_items(LONG), endpoint={"work_us": work_us})
 
 
+def test_a_stop_answers_a_call_that_still_waits_as_not_run():
+    async def scenario(world):
+        host = next(iter(world.application))
+        running = (await world.caller(host)).ask(b"/long/x", due_ms=LONG_US // MILLISECOND)
+        await sleep_us(50 * MILLISECOND)
+        waiting = (await world.caller(host)).ask(b"/long/y", due_ms=LONG_US // MILLISECOND)
+        await sleep_us(50 * MILLISECOND)
+        stopped_at = monotonic_us()
+        await world.stop(f"mdproxy@{host}")
+        await waiting.done.wait()
+        await running.done.wait()
+        assert waiting.at + waiting.took < stopped_at + 6 * SECOND
+        assert waiting.status == 503 and waiting.id not in executed_ids(world)
+        assert running.status == 502
+
+    gated(
+        scenario,
+        application=("desk",),
+        items=default_items(LONG),
+        endpoint={"work_us": work_us, "slots": 1},
+    )
+
+
+def test_a_second_signal_answers_what_is_in_progress():
+    async def scenario(world):
+        host = next(iter(world.application))
+        running = (await world.caller(host)).ask(b"/long/x", due_ms=LONG_US // MILLISECOND)
+        await sleep_us(50 * MILLISECOND)
+        world.node("mdproxy", host).shutdown.abort_requested.set()
+        await world.stop(f"mdproxy@{host}")
+        await running.done.wait()
+        assert running.status == 502
+
+    gated(scenario, application=("desk",), items=default_items(LONG), endpoint={"work_us": work_us})
+
+
 def test_a_request_behind_the_last_answer_of_a_connection_does_not_run():
     async def scenario(world):
         host = next(iter(world.application))
