A repeated SIGTERM no longer cuts the requests in flight of a stop

Callers saw: nothing reported; whoever sends SIGTERM twice (a supervisor, restarts in series that overlap) cut every request in flight. Cause: any second signal ended the process at once. Change: only SIGINT after a first signal ends a stop at once (event 104); SIGTERM again changes nothing.

--- a/packages/logs/meadowdock/logs/catalogue.py
+++ b/packages/logs/meadowdock/logs/catalogue.py
@@ -28,7 +28,7 @@
         "stopped", "all requests in flight are done, or the time for them is over"
     ),
     log_events.SHUTDOWN_ABORTED: EventKind(
-        "shutdown_aborted", "a second signal: the process stops at once"
+        "shutdown_aborted", "an interrupt during a stop: the process ends at once"
     ),
     log_events.TASK_FAILED: EventKind(
         "task_failed", "a background task failed with an unexpected error and was started again"
--- a/packages/process/meadowdock/process/daemon.py
+++ b/packages/process/meadowdock/process/daemon.py
@@ -59,7 +59,7 @@
     def abort_requests(self) -> None:
         """End the requests that are still in flight, each with an answer.
 
-        Called after the drain, when its time is over or a second signal requested an immediate stop.
+        Called after the drain, when its time is over or an interrupt requested an immediate stop.
         """
 
     async def flush(self) -> None:
--- a/packages/process/meadowdock/process/runner.py
+++ b/packages/process/meadowdock/process/runner.py
@@ -23,8 +23,8 @@
 async def watch_signals(node: Node) -> None:
     """Forward SIGTERM and SIGINT to the node's shutdown."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for _ in received:
-            node.shutdown.on_signal()
+        async for number in received:
+            node.shutdown.on_signal(number)
 
 
 async def run_daemon(settings: ProcessSettings, make_daemon: Callable[[Node], Daemon]) -> None:
--- a/packages/process/meadowdock/process/shutdown.py
+++ b/packages/process/meadowdock/process/shutdown.py
@@ -2,11 +2,12 @@
 
 The node reports itself not ready, notifies its peers, keeps serving until load balancers and
 callers have noticed, waits for the requests in flight, and closes its listeners. All this is
-limited by a deadline; a second signal ends it immediately.
+limited by a deadline; an interrupt after the first signal ends it immediately.
 """
 
 from __future__ import annotations
 
+import signal
 from typing import TYPE_CHECKING
 
 import trio
@@ -49,12 +50,14 @@
         self.close_by: int | None = None
         self.requested, self.abort_requested = trio.Event(), trio.Event()
 
-    def on_signal(self) -> None:
-        """Request a graceful shutdown at the first signal, and an immediate one at the second."""
-        if self.requested.is_set():
+    def on_signal(self, number: int) -> None:
+        """Request a graceful shutdown at the first signal, and an end at once at a later SIGINT.
+
+        A repeated SIGTERM changes nothing, since a supervisor may send it again during a planned stop.
+        """
+        if self.requested.is_set() and number == signal.SIGINT:
             self.abort_requested.set()
-        else:
-            self.requested.set()
+        self.requested.set()
 
     async def run(self) -> None:
         """Shut the node down, then cancel its nursery."""
@@ -86,7 +89,7 @@
         node.nursery.cancel_scope.cancel()
 
     async def abort_when_requested(self, scope: trio.CancelScope) -> None:
-        """Wait for a second signal, then end the drain."""
+        """Wait for the request to end at once, then end the drain."""
         await self.abort_requested.wait()
         self.node.log(log_events.SHUTDOWN_ABORTED)
         scope.cancel()
