Settings that change while a process runs are applied by the node

Cause: the soak is to send SIGHUP, and applying changed settings stood in the platform's adapter alone, with a look for the daemon's hook. No behaviour changes; the test of it calls the node's method.

--- a/packages/process/meadowdock/process/daemon.py
+++ b/packages/process/meadowdock/process/daemon.py
@@ -9,6 +9,7 @@
     from meadowdock.admin_http import RouteTable
     from meadowdock.process.node import Node
     from meadowdock.rpc import Handlers
+    from meadowdock.settings import ProcessSettings
 
 BackgroundTask = Callable[[], Awaitable[None]]
 
@@ -47,6 +48,9 @@
         """Return why this process is not ready, as reported at /ready; empty if it is ready."""
         raise NotImplementedError
 
+    def settings_changed(self, settings: ProcessSettings) -> None:
+        """Use the settings that have changed while the process runs."""
+
     async def announce_shutdown(self) -> None:
         """Notify peers that this process is about to stop, and hand over its vote or lease."""
 
--- a/packages/process/meadowdock/process/node.py
+++ b/packages/process/meadowdock/process/node.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 
 import trio
@@ -59,6 +60,20 @@
         self.stopping = False
         self.shutdown = GracefulShutdown(self)
 
+    def apply_settings(self, latest: ProcessSettings) -> None:
+        """Apply the settings that may change while a process runs.
+
+        Its host, ports and zone stay as at the start.
+        """
+        self.settings = replace(
+            self.settings,
+            seeds=latest.seeds,
+            service=latest.service,
+            retry_budget=latest.retry_budget,
+        )
+        self.membership.seeds = self.settings.seeds
+        self.daemon.settings_changed(self.settings)
+
     def unready_reasons(self) -> list[str]:
         """Return why this node is not ready; empty if it is ready."""
         stopping = ["stopping"] if self.stopping else []
--- a/tests/platform/test_platform_settings.py
+++ b/tests/platform/test_platform_settings.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from meadowdock.process import Node
 from meadowdock.settings import (
     InvalidSettings,
     RetryBudgetSettings,
@@ -21,7 +22,6 @@
 ADAPTER_FOLDER = Path(__file__).parents[2] / "platform"
 sys.path.insert(0, str(ADAPTER_FOLDER))
 
-from platform_adapter.main import apply_settings  # noqa: E402
 from platform_adapter.settings import Settings, load_settings  # noqa: E402
 from platform_adapter.times import parse_time  # noqa: E402
 
@@ -242,7 +242,7 @@
     )
     changed = EXAMPLE_FILE.replace("127.0.9.2:9090", "127.0.9.3:9090").replace("9091", "9099")
     file.write_text(changed.replace('"mill"', '"forge"').replace("0.25", "0.5"))
-    apply_settings(node, settings.reread())
+    Node.apply_settings(node, settings.reread())
     assert node.settings.seeds == node.membership.seeds == ("127.0.9.1:9100", "127.0.9.3:9100")
     assert (node.settings.service, node.settings.retry_budget.ratio) == ("forge", 0.5)
     assert node.settings.gate_address == "127.0.9.1:9091"
