--- /dev/null
+++ b/tests/platform/test_start.py
@@ -0,0 +1,40 @@
+"""The start of a process from the deployed files."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+START = Path(__file__).parents[2] / "platform" / "start.py"
+
+
+def test_a_process_that_is_told_to_reload_while_it_starts_goes_on(tmp_path):
+    """The imports are replaced by one that waits until SIGHUP was sent."""
+    sent = tmp_path / "sent"
+    settings_module = tmp_path / "target" / "lib" / "meadowdock" / "settings"
+    settings_module.mkdir(parents=True)
+    (settings_module / "__init__.py").write_text("")
+    (settings_module / "deferred_imports.py").write_text(
+        "import pathlib, sys, time\n"
+        "print('importing', flush=True)\n"
+        f"while not pathlib.Path({str(sent)!r}).exists(): time.sleep(0.01)\n"
+        "print('went on', flush=True)\n"
+        "sys.exit(0)\n"
+    )
+    program = tmp_path / "platform" / "start.py"
+    program.parent.mkdir()
+    program.write_text(START.read_text())
+    process = subprocess.Popen(
+        [sys.executable, str(program), "mdproxy"],
+        stdout=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "PYTHONPATH": ""},
+    )
+    assert process.stdout.readline() == "importing\n"
+    process.send_signal(signal.SIGHUP)
+    sent.touch()
+    assert process.communicate()[0] == "went on\n"
+    assert process.returncode == 0
