A SIGTERM after the end of a stop doesn't change the exit status

Callers saw: nothing reported; a supervisor that sends SIGTERM twice could see status -15 of a process that had stopped in order. Cause: the signal receiver restores the default handler when the daemon has ended, some milliseconds before the process has. Change: SIGTERM is ignored from the end of the daemon on.

--- a/packages/process/meadowdock/process/runner.py
+++ b/packages/process/meadowdock/process/runner.py
@@ -21,10 +21,14 @@
 
 
 async def watch_signals(node: Node) -> None:
-    """Forward SIGTERM and SIGINT to the node's shutdown."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for number in received:
-            node.shutdown.on_signal(number)
+    """Forward SIGTERM and SIGINT to the node's shutdown, and ignore a SIGTERM after its end."""
+    try:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+            async for number in received:
+                node.shutdown.on_signal(number)
+    finally:
+        # the receiver restores the default, by which a repeated SIGTERM would change the exit status
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
 
 
 async def run_daemon(settings: ProcessSettings, make_daemon: Callable[[Node], Daemon]) -> None:
