Soak of planned work: restarts, reloads and changes that overlap must lose nothing

Cause: no test had callers that use a connection until it is closed while processes are restarted, and the soak had no SIGTERM at all.

--- a/packages/soak/meadowdock/soak/daemon.py
+++ b/packages/soak/meadowdock/soak/daemon.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 import trio
@@ -57,7 +58,14 @@
     return {"mdproxy": SoakProxy, "mdreg": RegistryServer, "mdconf": ConfigStore}[role]
 
 
-async def serve(settings: ProcessSettings, partitions_file: str) -> None:
+async def watch_reload(node: Node, boot_file: str) -> None:
+    """Read the boot file again at each SIGHUP."""
+    with trio.open_signal_receiver(signal.SIGHUP) as received:
+        async for _ in received:
+            node.apply_settings(load_settings(node.settings.role, boot_file))
+
+
+async def serve(settings: ProcessSettings, boot_file: str, partitions_file: str) -> None:
     """Run the daemon until a signal stops it."""
     partitions = Partitions(partitions_file, settings.host)
     async with trio.open_nursery() as nursery:
@@ -69,8 +77,9 @@
         )
         node = Node(settings, runtime, nursery)
         nursery.start_soon(watch_signals, node)
+        nursery.start_soon(watch_reload, node, boot_file)
         await node.run(daemon_type(settings.role))
 
 
 if __name__ == "__main__":
-    trio.run(serve, load_settings(sys.argv[1], sys.argv[2]), sys.argv[3])
+    trio.run(serve, load_settings(sys.argv[1], sys.argv[2]), sys.argv[2], sys.argv[3])
--- a/packages/soak/meadowdock/soak/fleet.py
+++ b/packages/soak/meadowdock/soak/fleet.py
@@ -5,10 +5,12 @@
 import json
 import os
 import subprocess
+from dataclasses import dataclass, field
 
 from meadowdock.local_fleet.fleet import Fleet
+from meadowdock.logs import events as log_events
 from meadowdock.soak.cuts import write_partitions
-from meadowdock.soak.log_reader import read_logs
+from meadowdock.soak.log_reader import read_log, read_logs
 
 GATEWAY_PORT, SERVICE, ENDPOINT_CAPACITY = 7405, "desk", 6
 RETRY_RESERVE = 60  # retries per window that the fleet may make beyond its ratio of the requests
@@ -31,12 +33,16 @@
     }
 
 
+@dataclass
 class SoakFleet(Fleet):
     """A fleet whose daemons are those of meadowdock.soak.daemon.
 
-    Invariant: as that of Fleet, processes holds all running processes that it started.
+    Invariants: as that of Fleet, processes holds all running processes that it started;
+    earlier_starts holds, for each of them, how often its name had logged a start before.
     """
 
+    earlier_starts: dict[str, int] = field(default_factory=dict)
+
     @property
     def partitions_file(self) -> str:
         """Path of the file that holds the current partitions."""
@@ -68,6 +74,27 @@
         ]
         return self.spawn(f"{role}-{host}", argv)
 
+    def spawn(self, name: str, argv: list, stdout: object = None) -> subprocess.Popen:
+        """Start a Python module as a process of the fleet and return its handle."""
+        self.earlier_starts[name] = self.count_starts(name)
+        handle: subprocess.Popen = super().spawn(name, argv, stdout)
+        return handle
+
+    def count_starts(self, name: str) -> int:
+        """Return how often a process of this name has logged that it serves."""
+        path = os.path.join(self.logs_folder, f"{name}.log")
+        if not os.path.exists(path):
+            return 0
+        return sum(
+            event["number"] == log_events.STARTED
+            for line in read_log(path)
+            for event in line.events
+        )
+
+    def has_started(self, name: str) -> bool:
+        """Return whether the latest process of this name has logged that it serves."""
+        return self.count_starts(name) > self.earlier_starts[name]
+
     def set_partitions(self, pairs: list[tuple[str, str]]) -> None:
         """Partition exactly these pairs of hosts from each other."""
         write_partitions(self.partitions_file, pairs)
--- a/packages/soak/meadowdock/soak/log_reader.py
+++ b/packages/soak/meadowdock/soak/log_reader.py
@@ -64,9 +64,15 @@
     return text if next_event < 0 else text[:next_event]
 
 
+def read_log(path: str) -> Iterator[LogLine]:
+    """Yield each line of a log."""
+    with open(path, encoding="utf-8") as file:
+        for text in file:
+            yield parse_line(text)
+
+
 def read_logs(folder: str) -> Iterator[tuple[str, LogLine]]:
     """Yield each line of all logs in a folder, with the name of its file."""
     for name in sorted(os.listdir(folder)):
-        with open(os.path.join(folder, name), encoding="utf-8") as file:
-            for text in file:
-                yield name, parse_line(text)
+        for line in read_log(os.path.join(folder, name)):
+            yield name, line
--- a/packages/soak/meadowdock/soak/soak.py
+++ b/packages/soak/meadowdock/soak/soak.py
@@ -11,11 +11,13 @@
 from meadowdock.runtime import MILLISECOND, SECOND, monotonic_us, sleep_us
 from meadowdock.soak.faults import Fault, draw_faults
 from meadowdock.soak.fleet import SoakFleet, soak_topology
+from meadowdock.soak.planned_work import PlannedWork
 from meadowdock.soak.traffic import DEADLINE_MS, Traffic, initial_items
 
 RECOVERY_S = 3.0
 HEALTHY_PERIOD_S = 2.0  # after the recovery: nearly all calls must be served
 READY_TIMEOUT_US = 20 * SECOND
+READY_TIMEOUT_PER_HOST_US = SECOND
 PAUSED_ROLES = {"pause proxy": "mdproxy", "pause core": "mdconf"}
 CORE_ROLES = ("mdconf", "mdreg")
 
@@ -39,7 +41,7 @@
     """Counts and violations of one soak run."""
 
     seed: int
-    faults: list[Fault]
+    faults: list[Fault] | list[PlannedWork]
     calls: int = 0
     served: int = 0
     refused: int = 0
@@ -73,6 +75,7 @@
         self.partitions: list[tuple[str, ...]] = []
         # A fault that ends late must not overlap with the next one at the same host.
         self.host_locks = {host: trio.Lock() for host in [*self.core, *self.proxies]}
+        self.core_lock = trio.Lock()
 
     async def inject(self, fault: Fault, started_us: int) -> None:
         """Wait for the start of a fault, inject it, and end it."""
@@ -123,8 +126,7 @@
                 "the initial configuration was not acknowledged",
             )
             await self.wait_until_served(nursery)
-            nursery.start_soon(self.traffic.send_calls, nursery, self.plan.calls_per_s)
-            nursery.start_soon(self.traffic.change_route_repeatedly)
+            self.start_traffic(nursery)
             started_us = monotonic_us()
             async with trio.open_nursery() as faults:
                 for fault in self.result.faults:
@@ -140,16 +142,21 @@
             nursery.cancel_scope.cancel()
         return self.result
 
+    def start_traffic(self, nursery: trio.Nursery) -> None:
+        """Start the load and the changes; both go on until the traffic stops."""
+        nursery.start_soon(self.traffic.send_calls, nursery, self.plan.calls_per_s)
+        nursery.start_soon(self.traffic.change_route_repeatedly)
+
     async def wait_until_served(self, nursery: trio.Nursery) -> None:
         """Wait until a call at each host has been served."""
-        deadline = monotonic_us() + READY_TIMEOUT_US
+        deadline = monotonic_us() + READY_TIMEOUT_US + READY_TIMEOUT_PER_HOST_US * len(self.proxies)
         for host in self.proxies:
             while True:
                 call = await self.traffic.call(nursery, host, "safe", 0)
                 if call is not None and call.status == 200:
                     break
                 if monotonic_us() > deadline:
-                    self.check(False, f"no call was served at {host} within {READY_TIMEOUT_US} us")
+                    self.check(False, f"no call was served at {host} in time")
                     return
                 await sleep_us(100 * MILLISECOND)
 
--- a/packages/soak/meadowdock/soak/traffic.py
+++ b/packages/soak/meadowdock/soak/traffic.py
@@ -101,6 +101,7 @@
         self.hosts_losing_responses: set[str] = set()
         self.sent_version = self.acknowledged_version = 1
         self.changes_sent = self.changes_acknowledged = 0
+        self.change_interval_us = CHANGE_INTERVAL_US
         self.stopping = trio.Event()
 
     async def start_endpoint(self, nursery: trio.Nursery, host: str) -> None:
@@ -235,7 +236,7 @@
             self.sent_version += 1
             if await self.send_change([route_item("safe", self.sent_version)]):
                 self.acknowledged_version = self.sent_version
-            await sleep_us(CHANGE_INTERVAL_US)
+            await sleep_us(self.change_interval_us)
 
     async def read_route_version(self) -> int:
         """Return the version of the route "safe" as a quorum knows it; 0 if no member answers."""
