--- a/packages/forwarding/meadowdock/forwarding/unanswered.py
+++ b/packages/forwarding/meadowdock/forwarding/unanswered.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from meadowdock.forwarding.call import Call
@@ -15,7 +16,7 @@
     from meadowdock.forwarding.gateway import Gateway
     from meadowdock.forwarding.interfaces import Logger
 
-MAX_LOGGED_REQUESTS = 20  # of one stop; the rest is counted
+MAX_LOGGED_REQUESTS = 20  # of one stop
 
 CALLER, PEER = "caller", "peer"  # who sent a request to this node
 
@@ -103,15 +104,13 @@
 
 def log_unanswered(
     requests: Iterable[UnansweredRequest], log: Logger, shutdown_started_at: int
-) -> int:
-    """Log requests that will get no answer because the process ends now; return their number.
+) -> None:
+    """Log the first of the requests that a stop ends before an endpoint has answered them.
 
     :param shutdown_started_at: us, monotonic clock; arrivals are told in ms after it
     """
-    now, count = monotonic_us(), 0
-    for count, request in enumerate(requests, 1):
-        if count > MAX_LOGGED_REQUESTS:
-            continue
+    now = monotonic_us()
+    for request in islice(requests, MAX_LOGGED_REQUESTS):
         arrived_at = request.arrived_at or now
         log(
             log_events.REQUEST_UNANSWERED,
@@ -123,4 +122,3 @@
             arrived_ms=(arrived_at - shutdown_started_at) // MILLISECOND,
             age_ms=(now - arrived_at) // MILLISECOND,
         )
-    return count
--- a/packages/process/meadowdock/process/daemon.py
+++ b/packages/process/meadowdock/process/daemon.py
@@ -58,7 +58,7 @@
         """Wait until no work is in flight."""
 
     def report_unanswered(self) -> None:
-        """Log the requests that get no answer, after the time for them is over."""
+        """Log the requests that `abort_requests` is about to end."""
 
     def abort_requests(self) -> None:
         """End the requests that are still in flight, each with an answer.
--- a/packages/proxy/meadowdock/proxy/gateway.py
+++ b/packages/proxy/meadowdock/proxy/gateway.py
@@ -169,7 +169,7 @@
         )
 
     def report_unanswered(self) -> None:
-        """Log the requests that get no answer because this process ends."""
+        """Log the requests that are about to be ended without an endpoint's answer."""
         self.log_progress("ending")
         started_at = self.node.shutdown.started_at
         assert started_at is not None  # set before the drain
