--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -139,6 +139,7 @@
 
     :ivar work: returns (seconds of work, body) of a request's path.
     :ivar arrivals: (time, attempt id) of the requests that it began to work on.
+    :ivar bodies: the bodies of these requests by attempt id.
     """
 
     def __init__(
@@ -159,6 +160,7 @@
         self.running = self.sequence = 0
         self.leaving = False
         self.arrivals: list[tuple[float, str]] = []
+        self.bodies: dict[str, bytes] = {}
         self.server: asyncio.Server | None = None
         self.beating: asyncio.Task[None] | None = None
 
@@ -244,7 +246,9 @@
         async with self.slots:
             self.running += 1
             self.arrivals.append((self.record.now(), attempt))
-            self.record.add(self.instance, f"runs {attempt} {request.first_line}")
+            self.bodies[attempt] = request.body
+            line, size = request.first_line, len(request.body)
+            self.record.add(self.instance, f"runs {attempt}: {line}, {size} bytes of body")
             work_s, body = self.work(path)
             await asyncio.sleep(work_s)
             self.running -= 1
