A process says in one event why it ends, how the former one ended, and why nothing bootstraps

The hypotheses couldn't be told apart: an error that ended a process left the trace of an exception group over many lines, a next life knew nothing of the former one, and a core that could not bootstrap was only 'not ready'.

Event 108 process_failed has the causes without their groups, where, the innermost frames and the exit status (1, as before). Event 109 previous_end, of processes with a data folder: told to stop, an error with its cause, or ended without either (kill, memory, power), from a record 'run' in that folder. Event 608 bootstrap_waiting names, for each bootstrap member, what is missing; once, after it has been the same for contact.

--- a/packages/config_store/meadowdock/config_store/liveness.py
+++ b/packages/config_store/meadowdock/config_store/liveness.py
@@ -73,6 +73,7 @@
             await self.bootstrap(answers)
         if self.store.membership is None:
             self.membership_known_at = monotonic_us()
+            self.log_bootstrap_obstacles(answers)
 
     def known_addresses(self):
         """Return the addresses of all other known processes, in order."""
@@ -188,6 +189,36 @@
             )
         )
 
+    def log_bootstrap_obstacles(self, answers):
+        """Log why no members are fixed, if it has been the same for contact_us."""
+        obstacles = self.bootstrap_obstacles(answers)
+        if obstacles != self.obstacles:
+            self.obstacles, self.obstacles_since = obstacles, monotonic_us()
+            self.obstacles_logged = False
+        elif (
+            not self.obstacles_logged
+            and monotonic_us() - self.obstacles_since >= self.timing.contact_us
+        ):
+            self.obstacles_logged = True
+            self.node.log(log_events.BOOTSTRAP_WAITING, why=obstacles)
+
+    def bootstrap_obstacles(self, answers):
+        """Return {bootstrap member: why it can't take part in a bootstrap now}."""
+        obstacles = {}
+        for address in self.bootstrap_members:
+            if address == self.node.settings.rpc_address:
+                founders = self.bootstrap_members if self.is_blank() else None
+            elif address not in answers:
+                obstacles[address] = "no answer"
+                continue
+            else:
+                founders = answers[address]["founders"]
+            if not founders:
+                obstacles[address] = "without permission to bootstrap, or not blank"
+            elif tuple(founders) != self.bootstrap_members:
+                obstacles[address] = "configured with other bootstrap members"
+        return obstacles
+
     async def bootstrap(self, answers):
         """Make the first membership configuration and send it to the others."""
         voters = {
--- a/packages/config_store/meadowdock/config_store/members.py
+++ b/packages/config_store/meadowdock/config_store/members.py
@@ -51,6 +51,8 @@
         self.started_at = self.membership_known_at = monotonic_us()
         self.pause_detector = PauseDetector(SECOND, monotonic_us())
         self.changes_in_progress = 0
+        # why no members are fixed, since when, and whether that was logged
+        self.obstacles, self.obstacles_since, self.obstacles_logged = {}, monotonic_us(), False
         # version of the last joint configuration, and when it was first seen
         self.joint_seen = (0, 0)
 
--- a/packages/logs/meadowdock/logs/catalogue.py
+++ b/packages/logs/meadowdock/logs/catalogue.py
@@ -39,6 +39,12 @@
     log_events.REQUEST_UNANSWERED: EventKind(
         "request_unanswered", "a stop ends a request that has no answer yet: says where it was"
     ),
+    log_events.PROCESS_FAILED: EventKind(
+        "process_failed", "an error ends the process: says what, where, and the exit status"
+    ),
+    log_events.PREVIOUS_END: EventKind(
+        "previous_end", "how the previous process with this data folder ended"
+    ),
     log_events.CONNECTION_REJECTED: EventKind(
         "connection_rejected", "a peer failed the proof of the fleet key, or sent a malformed frame"
     ),
@@ -99,6 +105,9 @@
         "repaired", "a missing, corrupt or lagging file was repaired: what says which"
     ),
     log_events.MEMBERS_CHANGED: EventKind("members_changed", "the voters are others now"),
+    log_events.BOOTSTRAP_WAITING: EventKind(
+        "bootstrap_waiting", "no members are known, and none can be fixed yet: says why"
+    ),
     log_events.LEASE_ACQUIRED: EventKind(
         "lease_acquired", "this process holds a lease under a new epoch"
     ),
--- a/packages/process/meadowdock/process/runner.py
+++ b/packages/process/meadowdock/process/runner.py
@@ -10,8 +10,11 @@
 
 import trio
 
+from meadowdock.logs import Log
 from meadowdock.process.daemon import Daemon
+from meadowdock.process.failure import EXIT_FAILED, ProcessFailure
 from meadowdock.process.node import Node
+from meadowdock.process.run_record import RunRecord
 from meadowdock.runtime import Disk, Net, NoDisk, Runtime
 from meadowdock.settings import ProcessSettings
 
@@ -31,23 +34,49 @@
         signal.signal(signal.SIGTERM, signal.SIG_IGN)
 
 
+async def record_stop(node: Node, record: RunRecord) -> None:
+    """Note in the run record that the process was told to stop."""
+    await node.shutdown.requested.wait()
+    await record.stopping()
+
+
 async def run_daemon(settings: ProcessSettings, make_daemon: Callable[[Node], Daemon]) -> None:
-    """Run one daemon on the real clock, network and disk until it has shut down."""
-    disk = Disk(settings.data) if settings.data else NoDisk()
-    async with trio.open_nursery() as nursery:
-        node = Node(settings, Runtime(Net(settings.host), disk), nursery)
-        nursery.start_soon(watch_signals, node)
-        await node.run(make_daemon)
+    """Run one daemon on the real clock, network and disk until it has shut down.
+
+    An error that ends it is kept in the run record.
+    """
+    disk = Disk(settings.data) if settings.data else None
+    try:
+        async with trio.open_nursery() as nursery:
+            node = Node(settings, Runtime(Net(settings.host), disk or NoDisk()), nursery)
+            nursery.start_soon(watch_signals, node)
+            if disk:
+                record = RunRecord(disk, node.log)
+                await record.begin()
+                nursery.start_soon(record_stop, node, record)
+            await node.run(make_daemon)
+    except Exception as error:
+        if disk:
+            cause = "; ".join(ProcessFailure.from_exception(error).causes)
+            RunRecord(disk, node.log).failed(cause)
+        raise
 
 
 def start(make_daemon: Callable[[Node], Daemon]) -> Callable[[ProcessSettings], None]:
-    """Return a function that runs a daemon with its settings and returns once it has ended."""
+    """Return a function that runs a daemon with its settings and returns once it has ended.
+
+    An error that ends the daemon is logged and ends the process with the status EXIT_FAILED.
+    """
 
     def run(settings: ProcessSettings) -> None:
         sys.setswitchinterval(THREAD_SWITCH_INTERVAL_S)
         linecache.clearcache()  # drops the source of all methods that attrs has generated
         gc.collect()
         gc.freeze()  # garbage collections skip what is loaded so far, which is never freed
-        trio.run(run_daemon, settings, make_daemon)
+        try:
+            trio.run(run_daemon, settings, make_daemon)
+        except Exception as error:
+            ProcessFailure.from_exception(error).log(Log(settings.node_name))
+            sys.exit(EXIT_FAILED)
 
     return run
--- a/tests/config_store/test_members_auto.py
+++ b/tests/config_store/test_members_auto.py
@@ -558,3 +558,22 @@
         assert monotonic_us() - begun_at_us <= 600 * MILLISECOND
 
     run(scenario)
+
+
+def test_a_member_that_waits_for_the_bootstrap_says_once_why():
+    async def scenario(world):
+        fleet = SimulatedCore(world, core=3)
+        await fleet.start(fleet.hosts[:1])
+        fleet.may_bootstrap = False
+        await fleet.start(fleet.hosts[1:2])
+        await sleep_us(10 * SECOND)
+        first, second, third = (f"{host}:7421" for host in fleet.hosts)
+        not_permitted = "without permission to bootstrap, or not blank"
+        told = {line["of"]: line["why"] for _, line in world.trace.events(608)}
+        assert told == dict.fromkeys(
+            [f"mdconf@{host}" for host in fleet.hosts[:2]],
+            {second: not_permitted, third: "no answer"},
+        )
+        assert len(world.trace.events(608)) == 2
+
+    run(scenario, 1)
