--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -8,11 +8,13 @@
 import sys
 from pathlib import Path
 
+import pytest
+
 START = Path(__file__).parents[2] / "platform" / "start.py"
 
 
-def test_a_process_that_is_told_to_reload_while_it_starts_goes_on(tmp_path):
-    """The imports are replaced by one that waits until SIGHUP was sent."""
+def start_with_a_slow_import(tmp_path: Path) -> tuple[subprocess.Popen, Path]:
+    """Start a role whose imports wait until a file exists, and return that file, too."""
     sent = tmp_path / "sent"
     settings_module = tmp_path / "target" / "lib" / "meadowdock" / "settings"
     settings_module.mkdir(parents=True)
@@ -34,7 +36,20 @@
         env={**os.environ, "PYTHONPATH": ""},
     )
     assert process.stdout.readline() == "importing\n"
+    return process, sent
+
+
+def test_a_process_that_is_told_to_reload_while_it_starts_goes_on(tmp_path):
+    process, sent = start_with_a_slow_import(tmp_path)
     process.send_signal(signal.SIGHUP)
     sent.touch()
     assert process.communicate()[0] == "went on\n"
     assert process.returncode == 0
+
+
+@pytest.mark.parametrize("number", (signal.SIGTERM, signal.SIGINT))
+def test_a_process_that_is_told_to_stop_while_it_starts_ends_with_status_0(tmp_path, number):
+    process, _ = start_with_a_slow_import(tmp_path)
+    process.send_signal(number)
+    assert process.communicate(timeout=30)[0] == ""
+    assert process.returncode == 0
