The permission to bootstrap outlives the process that got it

Callers saw: a deployment that never starts. A core process that ended once before the bootstrap, for whatever reason, came back with bootstrap = false, and the bootstrap wants the permission of all three: every order 503, no proxy ready, for as long as was watched.

Cause: a permission that belongs to a disk's first use was kept in the memory of one process.

A blank disk now keeps the permission, with the list of members that it is for; settings that come later with other seeds don't change that list. A minority of the bootstrap members may lack it (killed before their disk was written): an acknowledged write is on a majority of the first voters, and a lost disk has no permission, so a blank majority with permission proves that nothing was acknowledged. A majority without permission never bootstraps, as before.

--- a/packages/config_store/meadowdock/config_store/liveness.py
+++ b/packages/config_store/meadowdock/config_store/liveness.py
@@ -1,4 +1,4 @@
-"""Failure detection among configuration stores, and the bootstrap of the first configuration.
+"""Failure detection among configuration stores.
 
 Every process polls every other one. A process that has been silent for a while counts as failed;
 time for which this process itself was suspended is not counted.
@@ -10,7 +10,6 @@
 
 from meadowdock.config_store.membership_configuration import MembershipConfiguration
 from meadowdock.consensus import FailureDomain
-from meadowdock.logs import events as log_events
 from meadowdock.rpc import Handlers
 from meadowdock.runtime import monotonic_us, sleep_us
 
@@ -152,10 +151,12 @@
         """Answer a poll with the disk id, membership configuration and state of this process."""
         if poller and poller["link"] != self.node.settings.rpc_address:
             self.recent_pollers[poller["link"]] = monotonic_us()
+        candidate = self.own_candidate()
         return {
             "disk": self.store.disk_id,
             "record": self.store.membership.to_record() if self.store.membership else None,
-            "founders": self.bootstrap_members if self.is_blank() else None,
+            # None if the disk isn't blank, an empty list without permission to bootstrap
+            "founders": candidate.members if candidate.blank else None,
             "well": self.store.disk.failure() is None,
             "leaving": self.node.stopping,
             "zone": self.failure_domain.zone,
@@ -164,77 +165,6 @@
             "doors": self.operator_addresses(),
         }
 
-    def is_blank(self):
-        """Whether this process may take part in a bootstrap.
-
-        It may if the settings allow it and nothing was ever stored on its disk.
-        """
-        return self.bootstrap_allowed and self.store.is_blank
-
-    def may_bootstrap(self, answers):
-        """Whether this process is to make the first membership configuration.
-
-        It must be the first of the bootstrap members, and all of them must be blank and configured
-        with the same list. Therefore members configured with different lists never bootstrap, and a
-        lost disk is never mistaken for a blank one.
-        """
-        others = set(self.bootstrap_members) - {self.node.settings.rpc_address}
-        return (
-            self.is_blank()
-            and self.node.settings.rpc_address == self.bootstrap_members[0]
-            and all(
-                address in answers
-                and tuple(answers[address]["founders"] or ()) == self.bootstrap_members
-                for address in others
-            )
-        )
-
-    def log_bootstrap_obstacles(self, answers):
-        """Log why no members are fixed, if it has been the same for contact_us."""
-        obstacles = self.bootstrap_obstacles(answers)
-        if obstacles != self.obstacles:
-            self.obstacles, self.obstacles_since = obstacles, monotonic_us()
-            self.obstacles_logged = False
-        elif (
-            not self.obstacles_logged
-            and monotonic_us() - self.obstacles_since >= self.timing.contact_us
-        ):
-            self.obstacles_logged = True
-            self.node.log(log_events.BOOTSTRAP_WAITING, why=obstacles)
-
-    def bootstrap_obstacles(self, answers):
-        """Return {bootstrap member: why it can't take part in a bootstrap now}."""
-        obstacles = {}
-        for address in self.bootstrap_members:
-            if address == self.node.settings.rpc_address:
-                founders = self.bootstrap_members if self.is_blank() else None
-            elif address not in answers:
-                obstacles[address] = "no answer"
-                continue
-            else:
-                founders = answers[address]["founders"]
-            if not founders:
-                obstacles[address] = "without permission to bootstrap, or not blank"
-            elif tuple(founders) != self.bootstrap_members:
-                obstacles[address] = "configured with other bootstrap members"
-        return obstacles
-
-    async def bootstrap(self, answers):
-        """Make the first membership configuration and send it to the others."""
-        voters = {
-            answers[address]["disk"]: address
-            for address in self.bootstrap_members
-            if address != self.node.settings.rpc_address
-        }
-        voters[self.store.disk_id] = self.node.settings.rpc_address
-        domains = {hello["disk"]: failure_domain_of(hello) for hello in answers.values()}
-        domains[self.store.disk_id] = self.failure_domain
-        membership = MembershipConfiguration(1, voters).with_failure_domains(domains)
-        await self.store.adopt(membership)
-        self.node.log(log_events.BOOTSTRAPPED, members=sorted(voters.values()))
-        requests = {a: (a, "member.adopt", membership.to_record()) for a in answers}
-        await self.node.rpc.call_all(requests, monotonic_us() + self.timing.hello_timeout_us)
-
 
 def failure_domain_of(hello):
     """Return the failure domain in an answer to member.hello; older releases send none."""
--- a/packages/config_store/meadowdock/config_store/members.py
+++ b/packages/config_store/meadowdock/config_store/members.py
@@ -10,6 +10,7 @@
 import json
 
 from meadowdock.admin_http import Response
+from meadowdock.config_store.bootstrap import Bootstrap
 from meadowdock.config_store.exceptions import MembershipConflict
 from meadowdock.config_store.liveness import Liveness
 from meadowdock.config_store.membership_change import MembershipChange
@@ -29,7 +30,7 @@
 OPERATOR_MEMBER_COUNTS = (1, 3, 5)
 
 
-class MembershipManager(Liveness, VotingMember, StateTransfer, MembershipChange):
+class MembershipManager(Bootstrap, Liveness, VotingMember, StateTransfer, MembershipChange):
     """The part of a configuration store that decides who should vote, and which member acts.
 
     It is a base class of the server, which provides node, store and proposer. changes_in_progress
@@ -39,10 +40,9 @@
     def init_membership(self):
         """Initialize from the settings of the process; called by the constructor of the server."""
         settings = self.node.settings
-        self.bootstrap_members = tuple(sorted(settings.members or settings.seeds))
+        self.init_bootstrap()
         # operators choose the members; only lost disks are replaced automatically
         self.operator_managed = bool(settings.members)
-        self.bootstrap_allowed = getattr(settings, "may_bootstrap", True)
         self.timing = MembershipTiming.from_settings(settings)
         self.failure_domain = FailureDomain(settings.zone, getattr(settings, "region", ""))
         self.tolerated_losses = getattr(settings, "losses", 1)
@@ -51,8 +51,6 @@
         self.started_at = self.membership_known_at = monotonic_us()
         self.pause_detector = PauseDetector(SECOND, monotonic_us())
         self.changes_in_progress = 0
-        # why no members are fixed, since when, and whether that was logged
-        self.obstacles, self.obstacles_since, self.obstacles_logged = {}, monotonic_us(), False
         # version of the last joint configuration, and when it was first seen
         self.joint_seen = (0, 0)
 
--- a/packages/config_store/meadowdock/config_store/server.py
+++ b/packages/config_store/meadowdock/config_store/server.py
@@ -83,6 +83,7 @@
     async def prepare(self) -> None:
         """Read the disk before any request is served."""
         await self.store.load()
+        await self.load_bootstrap_grant()
         self.leases.start()
         self.proposer = self.make_proposer()
 
