A log that nobody reads neither ends a process nor holds it up

Callers saw: processes of all roles that end with status 120 or 1, or stay and answer nothing.

Cause: each event was written to standard error as if that could not fail. With the reader of the pipe gone the write raised in whatever task logged (and once more at the exit, hence 120); a full pipe that nobody reads blocked the event loop; with standard error closed there was no file at all. Class: something that a process only uses can end it or hold it up.

A closed standard error discards, and keeps its number, which the next socket would get otherwise. Other modules' output to standard error goes the same way.

--- a/packages/logs/meadowdock/logs/catalogue.py
+++ b/packages/logs/meadowdock/logs/catalogue.py
@@ -45,6 +45,12 @@
     log_events.PREVIOUS_END: EventKind(
         "previous_end", "how the previous process with this data folder ended"
     ),
+    log_events.LOG_LINES_DROPPED: EventKind(
+        "log_lines_dropped", "lines of this log could not be written: says how many"
+    ),
+    log_events.LISTENER_WAITING: EventKind(
+        "listener_waiting", "an address can't be listened on: says why; it is tried again"
+    ),
     log_events.CONNECTION_REJECTED: EventKind(
         "connection_rejected", "a peer failed the proof of the fleet key, or sent a malformed frame"
     ),
--- a/packages/process/meadowdock/process/runner.py
+++ b/packages/process/meadowdock/process/runner.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from meadowdock.logs import Log
+from meadowdock.logs import Log, standard_error
 from meadowdock.process.daemon import Daemon
 from meadowdock.process.failure import EXIT_FAILED, ProcessFailure
 from meadowdock.process.node import Node
@@ -69,6 +69,8 @@
     """
 
     def run(settings: ProcessSettings) -> None:
+        # other modules print there, too; it must not end the process or hold it up
+        sys.stderr = standard_error()
         sys.setswitchinterval(THREAD_SWITCH_INTERVAL_S)
         linecache.clearcache()  # drops the source of all methods that attrs has generated
         gc.collect()
--- a/tests/logs/test_unread_log.py
+++ b/tests/logs/test_unread_log.py
@@ -63,6 +63,24 @@
     assert (output, process.returncode) == ("went on\n", 0)
 
 
+def test_the_log_is_not_written_to_a_socket_that_got_the_number_of_a_closed_standard_error():
+    program = (
+        "import socket\nfrom meadowdock.logs import Log\nlog = Log('mdreg@x')\n"
+        "one, other = socket.socketpair()\nlog(101)\nother.setblocking(False)\n"
+        "try: print('received', one.fileno(), other.recv(100))\n"
+        "except BlockingIOError: print('nothing')\n"
+    )
+    process = subprocess.run(
+        [sys.executable, "-c", program],
+        stdout=subprocess.PIPE,
+        preexec_fn=lambda: os.close(2),
+        text=True,
+        check=True,
+        timeout=TIMEOUT_S,
+    )
+    assert process.stdout == "nothing\n"
+
+
 def test_a_log_that_nobody_reads_does_not_hold_the_process_up():
     reading, writing = small_pipe()
     process = start(writing)
