A process waits for an address that another socket holds, in place of ending

Callers saw: a role that ends with status 1 at its start, and a core process that had not bootstrapped came back without permission. Cause: opening a listener was a step of the start whose OSError ended everything; the gateway's two listeners were tried again, but counted as open. Each listener is now opened as soon as its address is available; event 111 says once which one waits and why, and the process is not ready meanwhile.

--- a/packages/process/meadowdock/process/node.py
+++ b/packages/process/meadowdock/process/node.py
@@ -19,6 +19,7 @@
 from meadowdock.process.daemon import Daemon
 from meadowdock.process.health import with_health_checks
 from meadowdock.process.listeners import HttpListeners
+from meadowdock.process.listening import AddressQueue
 from meadowdock.process.shutdown import GracefulShutdown
 from meadowdock.process.supervision import supervise
 from meadowdock.rpc import ConnectionPool, Handlers, Peer, serve_connection
@@ -57,6 +58,7 @@
             settings.rpc_address, settings.role, settings.zone, self.incarnation, 0, False, 0
         )
         self.membership = GossipMembership(entry, settings.seeds, runtime.rng, self.rpc, self.log)
+        self.addresses = AddressQueue(self.log)
         self.stopping = False
         self.shutdown = GracefulShutdown(self)
 
@@ -77,7 +79,11 @@
     def unready_reasons(self) -> list[str]:
         """Return why this node is not ready; empty if it is ready."""
         stopping = ["stopping"] if self.stopping else []
-        return [*stopping, *self.daemon.unready_reasons()]
+        return [
+            *stopping,
+            *self.addresses.unready_reasons(),
+            *self.daemon.unready_reasons(),
+        ]
 
     async def run(
         self,
@@ -86,11 +92,15 @@
     ) -> None:
         """Serve until a shutdown is requested, then shut down and cancel the node's nursery.
 
-        `task_status` is set to started once all listeners are open.
+        `task_status` is set to started once all listeners are open whose addresses are available. A
+        process that is told to stop before it has opened any ends at once.
         """
         self.daemon = make_daemon(self)
         self.listeners = HttpListeners(self.apps())
         await self.daemon.prepare()
+        if self.shutdown.requested.is_set():
+            self.nursery.cancel_scope.cancel()
+            return
         await self.serve_rpc(
             self.daemon.rpc_handlers() | GossipMembership.handlers.bind(self.membership)
         )
@@ -98,7 +108,7 @@
         for name, task in tasks.items():
             self.nursery.start_soon(supervise, name, task, self.log)
         grace_us = self.shutdown.timeout_us - self.shutdown.linger_us
-        await self.nursery.start(self.listeners.serve, self.runtime.net, grace_us)
+        await self.nursery.start(self.listeners.serve, self.runtime.net, grace_us, self.addresses)
         settings = self.settings
         self.log(
             log_events.STARTED,
@@ -118,7 +128,7 @@
         return {address: App(table, self.daemon, self.log) for address, table in routes.items()}
 
     async def serve_rpc(self, handlers: Handlers) -> None:
-        """Open the rpc listener."""
+        """Open the rpc listener, now or once its address is available."""
         settings, runtime = self.settings, self.runtime
         serve = partial(
             serve_connection,
@@ -128,4 +138,7 @@
             handlers=handlers,
             log=self.log,
         )
-        await self.nursery.start(runtime.net.serve_streams, settings.rpc_address, serve)
+        address = settings.rpc_address
+        listen = partial(self.nursery.start, runtime.net.serve_streams, address, serve)
+        if not await self.addresses.try_to_listen(address, listen):
+            self.nursery.start_soon(self.addresses.listen, address, listen)
--- a/packages/proxy/meadowdock/proxy/gateway.py
+++ b/packages/proxy/meadowdock/proxy/gateway.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import asdict
+from functools import partial
 from typing import Any
 
 import trio
@@ -97,17 +98,22 @@
 
     async def serve_callers(self) -> None:
         """Accept connections of callers on this machine, until a shutdown closes the listener."""
-        self.open_listeners += 1
-        await self.sockets.listen(
-            self.node.settings.gate_address, self.gateway.accept, self.closing
-        )
+        await self.listen(self.node.settings.gate_address, self.gateway.accept, self.closing)
 
     async def serve_peers(self) -> None:
         """Accept connections of peers."""
-        settings = self.node.settings
+        address = f"{self.node.settings.host}:{self.node.settings.gate_port}"
+        await self.listen(address, self.gateway.peers.accept)
+
+    async def listen(
+        self, address: str, accept: Callable[[Any], None], closing: trio.Event | None = None
+    ) -> None:
+        """Accept connections at an address, as soon as it is available, until `closing` is set."""
         self.open_listeners += 1
-        await self.sockets.listen(
-            f"{settings.host}:{settings.gate_port}", self.gateway.peers.accept
+        addresses = self.node.addresses
+        status = addresses.status_of(address)
+        await addresses.listen(
+            address, partial(self.sockets.listen, address, accept, closing, status)
         )
 
     def unready_reasons(self) -> list[str]:
--- a/tests/process/test_address_in_use.py
+++ b/tests/process/test_address_in_use.py
@@ -9,6 +9,7 @@
 import sys
 import time
 import urllib.request
+from pathlib import Path
 
 import pytest
 from fleets import free_net
@@ -29,16 +30,29 @@
     return sock
 
 
-def start(host: str, folder: str) -> subprocess.Popen:
+def start(host: str, folder: Path) -> subprocess.Popen:
     """Start a config store."""
-    arguments = ["run", f"--host={host}", "--hall=a", f"--seeds={host}:7421", f"--data={folder}"]
+    boot_file = folder / "mdconf.toml"
+    boot_file.write_text(
+        f'host = "{host}"\nhall = "a"\nseeds = ["{host}:7421"]\nmembers = []\n'
+        f'fleet_key = "{"5a" * 32}"\ndata = "{folder}/data"\nlinger_us = 1\nstop_us = 400000\n'
+    )
     return subprocess.Popen(
-        [sys.executable, "-m", "meadowdock.config_store", *arguments, f"--fleet_key={'5a' * 32}"],
+        [sys.executable, "-m", "meadowdock.config_store", "run", f"--boot={boot_file}"],
         stderr=subprocess.PIPE,
         text=True,
     )
 
 
+def wait_for_event(process: subprocess.Popen, number: int) -> dict:
+    """Read the log up to the first event with a number, and return it."""
+    for line in process.stderr:
+        event = json.loads(line)
+        if event["number"] == number:
+            return event
+    raise AssertionError(f"the log ended without event {number}")
+
+
 def is_live(host: str) -> bool:
     """Return whether the process answers its health check."""
     try:
@@ -52,8 +66,8 @@
 def test_a_process_waits_for_an_address_that_is_in_use(tmp_path, port):
     host = f"{free_net()}.1"
     with held((host, port)):
-        process = start(host, str(tmp_path))
-        waiting = json.loads(process.stderr.readline())
+        process = start(host, tmp_path)
+        waiting = wait_for_event(process, log_events.LISTENER_WAITING)
         time.sleep(HELD_S)
         assert process.poll() is None
     deadline = time.monotonic() + START_S
@@ -63,7 +77,6 @@
     process.send_signal(signal.SIGTERM)
     _, log = process.communicate(timeout=30)
     assert process.returncode == 0
-    assert waiting["number"] == log_events.LISTENER_WAITING
     assert waiting["address"] == f"{host}:{port}"
     numbers = [json.loads(line)["number"] for line in log.splitlines()]
     assert numbers.count(log_events.LISTENER_WAITING) == 0, "the wait is logged once"
@@ -73,8 +86,8 @@
 def test_a_process_that_waits_for_an_address_ends_when_it_is_told_to(tmp_path):
     host = f"{free_net()}.1"
     with held((host, DEFAULT_PORTS["mdconf"][0])):
-        process = start(host, str(tmp_path))
-        process.stderr.readline()
+        process = start(host, tmp_path)
+        wait_for_event(process, log_events.LISTENER_WAITING)
         process.send_signal(signal.SIGTERM)
         process.communicate(timeout=30)
     assert process.returncode == 0
