A process that is told to stop while it starts ends with status 0

Supervisors saw status -15 of a process that SIGTERM met in its first 250 to 300 ms, as if it had failed. SIGTERM before Python runs start.py, in the first 20 ms or so, can't be handled by it.

--- a/packages/process/meadowdock/process/runner.py
+++ b/packages/process/meadowdock/process/runner.py
@@ -12,6 +12,7 @@
 
 from meadowdock.logs import Log, standard_error
 from meadowdock.process.daemon import Daemon
+from meadowdock.process.early_signals import STOP_SIGNALS, EarlySignals
 from meadowdock.process.failure import EXIT_FAILED, ProcessFailure
 from meadowdock.process.node import Node
 from meadowdock.process.run_record import RunRecord
@@ -23,10 +24,15 @@
 THREAD_SWITCH_INTERVAL_S = 0.0005
 
 
-async def watch_signals(node: Node) -> None:
-    """Forward SIGTERM and SIGINT to the node's shutdown, and ignore a SIGTERM after its end."""
+async def watch_signals(node: Node, earlier: EarlySignals | None = None) -> None:
+    """Forward SIGTERM and SIGINT to the node's shutdown, and ignore a SIGTERM after its end.
+
+    :param earlier: keeps the signals that arrived before.
+    """
     try:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        with trio.open_signal_receiver(*STOP_SIGNALS) as received:
+            for number in earlier.received if earlier else ():
+                node.shutdown.on_signal(number)
             async for number in received:
                 node.shutdown.on_signal(number)
     finally:
@@ -40,7 +46,9 @@
     await record.stopping()
 
 
-async def run_daemon(settings: ProcessSettings, make_daemon: Callable[[Node], Daemon]) -> None:
+async def run_daemon(
+    settings: ProcessSettings, make_daemon: Callable[[Node], Daemon], earlier: EarlySignals
+) -> None:
     """Run one daemon on the real clock, network and disk until it has shut down.
 
     An error that ends it is kept in the run record.
@@ -49,7 +57,7 @@
     try:
         async with trio.open_nursery() as nursery:
             node = Node(settings, Runtime(Net(settings.host), disk or NoDisk()), nursery)
-            nursery.start_soon(watch_signals, node)
+            nursery.start_soon(watch_signals, node, earlier)
             if disk:
                 record = RunRecord(disk, node.log)
                 await record.begin()
@@ -69,6 +77,8 @@
     """
 
     def run(settings: ProcessSettings) -> None:
+        earlier = EarlySignals()
+        earlier.watch()
         # other modules print there, too; it must not end the process or hold it up
         sys.stderr = standard_error()
         sys.setswitchinterval(THREAD_SWITCH_INTERVAL_S)
@@ -76,7 +86,7 @@
         gc.collect()
         gc.freeze()  # garbage collections skip what is loaded so far, which is never freed
         try:
-            trio.run(run_daemon, settings, make_daemon)
+            trio.run(run_daemon, settings, make_daemon, earlier)
         except Exception as error:
             ProcessFailure.from_exception(error).log(Log(settings.node_name))
             sys.exit(EXIT_FAILED)
