An unexpected error in one task no longer ends the process

Found by reading: each task of a process shares one nursery, and an error outside of seven listed types, or in a connection's own task, cancelled all of them; the process ended with everything that it had in hand. An authenticated peer could cause it with a call id of another form. Class: something that a process only uses can end it.

The node's nursery logs the error of a task (event 105 with the line) and goes on; loops are started again after any error; the accepted connections of rpc and HTTP end alone.

--- a/packages/admin_http/meadowdock/admin_http/app.py
+++ b/packages/admin_http/meadowdock/admin_http/app.py
@@ -93,6 +93,11 @@
         except BodyTooLarge:
             return Response(413, {"code": "too_large", "verdict": "not-run"})
 
+    def report_failure(self, error: Exception) -> None:
+        """Log an error that ended a connection outside of a handler."""
+        if self.log:
+            self.log(log_events.INTERNAL_ERROR, path="", cause=repr(error))
+
     async def wait_idle(self) -> None:
         """Wait until no request is in flight."""
         while self.requests_in_flight:
--- a/packages/process/meadowdock/process/node.py
+++ b/packages/process/meadowdock/process/node.py
@@ -22,6 +22,7 @@
 from meadowdock.process.listening import AddressQueue
 from meadowdock.process.shutdown import GracefulShutdown
 from meadowdock.process.supervision import supervise
+from meadowdock.process.task_guard import GuardedNursery, run_guarded
 from meadowdock.rpc import ConnectionPool, Handlers, Peer, serve_connection
 from meadowdock.runtime import Runtime
 from meadowdock.settings import ProcessSettings
@@ -47,12 +48,13 @@
         nursery: trio.Nursery,
         log: Log | None = None,
     ) -> None:
-        self.settings, self.runtime, self.nursery = settings, runtime, nursery
+        self.settings, self.runtime = settings, runtime
         self.log = log or Log(settings.node_name)
+        self.nursery = GuardedNursery(nursery, self.log)
         self.incarnation = runtime.wall_us()
         self_peer = Peer(settings.node_name, settings.rpc_address)
         self.rpc = ConnectionPool(
-            nursery, runtime.net, settings.fleet_key, runtime.rng, self_peer, self.log
+            self.nursery, runtime.net, settings.fleet_key, runtime.rng, self_peer, self.log
         )
         entry = MemberEntry(
             settings.rpc_address, settings.role, settings.zone, self.incarnation, 0, False, 0
@@ -139,6 +141,7 @@
             log=self.log,
         )
         address = settings.rpc_address
-        listen = partial(self.nursery.start, runtime.net.serve_streams, address, serve)
+        serve_guarded = partial(run_guarded, self.log, serve)
+        listen = partial(self.nursery.start, runtime.net.serve_streams, address, serve_guarded)
         if not await self.addresses.try_to_listen(address, listen):
             self.nursery.start_soon(self.addresses.listen, address, listen)
--- a/packages/proxy/meadowdock/proxy/staging.py
+++ b/packages/proxy/meadowdock/proxy/staging.py
@@ -17,7 +17,6 @@
 from meadowdock.configuration.chunk_fetch import ChunkFetch, ChunkFetcher
 from meadowdock.configuration.chunk_server import serve_chunks
 from meadowdock.logs import events as log_events
-from meadowdock.process import RECOVERABLE_ERRORS
 from meadowdock.runtime import monotonic_us
 
 HEDGE_DELAY_DIVISOR = 20  # of apply_us: the wait for a silent member before the next one is asked
@@ -96,7 +95,7 @@
         """Build the routing table, once all chunks have been fetched."""
         try:
             routing_table = await self.node.runtime.offload(self.build, staging.revision)
-        except RECOVERABLE_ERRORS as cause:
+        except Exception as cause:
             # A peer sent a malformed chunk: the chunks that were fetched are dropped, so that the
             # next staging fetches them again.
             self.node.log(log_events.TASK_FAILED, task="staging", cause=repr(cause))
--- a/packages/rpc/meadowdock/rpc/connection_pool.py
+++ b/packages/rpc/meadowdock/rpc/connection_pool.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Hashable, Mapping
-from typing import Any, TypeVar
+from collections.abc import Awaitable, Callable, Hashable, Mapping
+from typing import Any, Protocol, TypeVar
 
 import ormsgpack
 import trio
@@ -21,6 +21,13 @@
 Call = tuple[str, str, Any]  # address, method, arguments
 
 
+class TaskStarter(Protocol):
+    """A nursery, or what starts tasks in one."""
+
+    def start_soon(self, function: Callable[..., Awaitable[object]], *args: Any) -> None:
+        """Start a task."""
+
+
 class ConnectionPool:
     """The rpc client of a process, with one connection for each address.
 
@@ -33,7 +40,7 @@
 
     def __init__(
         self,
-        nursery: trio.Nursery,
+        nursery: TaskStarter,
         net: Net,
         fleet_key: bytes,
         rng: random.Random,
--- a/packages/runtime/meadowdock/runtime/http_server.py
+++ b/packages/runtime/meadowdock/runtime/http_server.py
@@ -113,11 +113,19 @@
         self.connections: set[ServerConnection] = set()
 
     async def accept(self, stream: trio.SocketStream) -> None:
-        """Serve one accepted connection until it ends."""
+        """Serve one accepted connection until it ends.
+
+        An unexpected error ends this connection alone, if the app has a method to report it.
+        """
         connection = ServerConnection(self, stream)
         self.connections.add(connection)
         try:
             await connection.serve()
+        except Exception as error:
+            report = getattr(self.app, "report_failure", None)
+            if report is None:
+                raise
+            report(error)
         finally:
             self.connections.discard(connection)
 
