--- a/packages/forwarding/meadowdock/forwarding/sockets.py
+++ b/packages/forwarding/meadowdock/forwarding/sockets.py
@@ -23,8 +23,21 @@
 READ_SIZE = 16_384  # bytes; a larger buffer would be allocated by the system at each read
 LINGER_US = 2 * SECOND  # between the end of output and the close, for the other side to read it
 LISTEN_BACKLOG = 1024  # connections that the kernel keeps until they are accepted
-ACCEPT_PAUSE_US = 20 * MILLISECOND  # after running out of descriptors, until some are closed
-OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+ACCEPT_PAUSE_US = 20 * MILLISECOND  # after an error of accept, such as running out of descriptors
+# Errors of accept(2) that concern the connection to be accepted, not the listener.
+IGNORABLE_ACCEPT_ERRORS = (
+    errno.ECONNABORTED,
+    errno.EHOSTDOWN,
+    errno.EHOSTUNREACH,
+    errno.ENETDOWN,
+    errno.ENETUNREACH,
+    errno.ENONET,
+    errno.ENOPROTOOPT,
+    errno.EOPNOTSUPP,
+    errno.EPERM,
+    errno.EPROTO,
+    errno.ETIMEDOUT,
+)
 
 
 class SocketConnection:
@@ -148,6 +161,13 @@
             await self.read_until_end()
         except (OSError, trio.ClosedResourceError) as broken:
             cause = broken
+        except Exception as error:
+            self.end(error)
+            raise  # the nursery logs it
+        self.end(cause)
+
+    def end(self, cause: object) -> None:
+        """Close the connection, unless it is closed, and report the end to its owner."""
         if not self.closed:
             self.close()
             self.network.reactor.turn(self.owner.on_end, cause)
@@ -247,17 +267,24 @@
                 await sleep_us(ACCEPT_PAUSE_US)
 
     def accept_all(self, listener: socket.socket, accept: Callable[[Any], None]) -> bool:
-        """Accept all waiting connections; return False if the process is out of descriptors."""
+        """Accept all waiting connections; return False if that fails for now.
+
+        It fails while the process is out of descriptors or memory.
+        """
         while True:
             try:
                 sock, peer = listener.accept()
             except BlockingIOError:
                 return True
             except OSError as error:
-                if error.errno in OUT_OF_DESCRIPTORS:
-                    return False
+                if error.errno in IGNORABLE_ACCEPT_ERRORS:
+                    continue
+                return False
+            try:
+                connection = self.adopt(sock, peer[0])
+            except OSError:  # the connection was reset before it was accepted
+                sock.close()
                 continue
-            connection = self.adopt(sock, peer[0])
             accept(connection)
             self.nursery.start_soon(connection.read)
 
@@ -278,7 +305,10 @@
 
     async def connect(self, address: Address, deadline: int) -> SocketConnection | OSError | str:
         """Return an open connection, or the reason why none could be opened."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:  # no descriptor is left
+            return error
         failure: OSError | str = "no connection in time"
         try:
             sock.setblocking(False)
