--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,10 +1,10 @@
 #!/bin/sh
 # Builds target/deps (the libraries that the daemons need) and target/lib (our packages),
 # byte-compiled. Must run at the root of the repository. target/deps is rebuilt only when its
-# requirements or the version of Python have changed.
+# requirements have changed, or it was built for another Python or another kind of machine.
 set -eu
 requirements=deploy/requirements-run.txt
-version_file=target/deps/.made  # the version of Python that target/deps was built for
+build_record=target/deps/.made  # the platform that target/deps was built for
 
 python_version=$(python3 -c 'import sys; print("%d.%d" % sys.version_info[:2])')
 if ! python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))'; then
@@ -22,13 +22,16 @@
     done
 }
 
-if [ ! -e "$version_file" ] || [ "$requirements" -nt "$version_file" ] \
-    || [ "$(cat "$version_file")" != "$python_version" ]; then
+# The libraries have compiled parts for one minor version of Python and one kind of machine.
+platform=$(python3 -c 'import sys, sysconfig
+print("%s %s" % (sys.implementation.cache_tag, sysconfig.get_platform()))')
+if [ ! -e "$build_record" ] || [ "$requirements" -nt "$build_record" ] \
+    || [ "$(cat "$build_record")" != "$platform" ]; then
     rm -rf target/deps
     python3 -m pip install -q --no-deps --no-compile --only-binary=:all: --disable-pip-version-check \
         --root-user-action=ignore --target target/deps -r "$requirements"
     compile_optimized target/deps
-    echo "$python_version" >"$version_file"
+    echo "$platform" >"$build_record"
 fi
 
 rm -rf target/lib.new
--- a/tests/project/test_deploy.py
+++ b/tests/project/test_deploy.py
@@ -94,3 +94,37 @@
     assert process.returncode == 1
     assert "python3 is 3.10, but 3.11 or later is needed" in process.stderr
     assert not (tmp_path / "target").exists()
+
+
+FAKE_PYTHON = """#!/bin/sh
+case "$*" in
+    *cache_tag*) echo "$FAKE_PLATFORM" ;;
+    *version_info*) echo 3.11 ;;
+    *"pip install"*) mkdir -p target/deps; echo installed >>pip.log ;;
+esac
+"""
+
+
+def test_target_deps_of_another_kind_of_machine_are_built_again(tmp_path):
+    """A folder that was carried over has compiled parts that this machine can't load."""
+    script = tmp_path / "python3"
+    script.write_text(FAKE_PYTHON)
+    script.chmod(0o755)
+    (tmp_path / "deploy").mkdir()
+    (tmp_path / "deploy" / "requirements-run.txt").write_text("")
+    (tmp_path / "packages" / "x" / "meadowdock" / "x").mkdir(parents=True)
+    (tmp_path / "platform" / "platform_adapter").mkdir(parents=True)
+
+    def installations(platform):
+        subprocess.run(
+            ["sh", ROOT / "deploy" / "build.sh"],
+            cwd=tmp_path,
+            env={"PATH": f"{tmp_path}:{os.environ['PATH']}", "FAKE_PLATFORM": platform},
+            check=True,
+        )
+        return len((tmp_path / "pip.log").read_text().splitlines())
+
+    assert installations("cpython-311 linux-x86_64") == 1
+    assert installations("cpython-311 linux-x86_64") == 1
+    assert installations("cpython-311 linux-aarch64") == 2
+    assert installations("cpython-312 linux-aarch64") == 3
