A disk that fails at the start is waited for, in place of ending the process

A data folder that could not be read or written at the start, for a moment or until space is freed, ended mdconf with an OSError; so did one that could not be made. The start now tries again every 0.2 s, event 112 says once why, and SIGTERM ends the wait. The folder is made by the first write.

--- a/packages/config_store/meadowdock/config_store/server.py
+++ b/packages/config_store/meadowdock/config_store/server.py
@@ -30,7 +30,8 @@
 from meadowdock.config_store.store import CURRENT_REVISION_KEY, Store
 from meadowdock.config_store.timing import OperatorTiming
 from meadowdock.consensus import NoQuorum
-from meadowdock.runtime import SECOND, monotonic_us
+from meadowdock.logs import events as log_events
+from meadowdock.runtime import MILLISECOND, SECOND, monotonic_us, sleep_us
 
 if TYPE_CHECKING:
     from meadowdock.consensus import Proposer
@@ -38,6 +39,7 @@
     from meadowdock.rpc import Handlers
 
 HANDOVER_RESERVE_US = 3 * SECOND // 2  # shutdown time left after the handover of the vote
+DISK_RETRY_DELAY_US = 200 * MILLISECOND  # of a disk that fails at the start
 DRAIN_RESERVE_US = SECOND // 4  # shutdown time left after the drain
 
 
@@ -81,11 +83,24 @@
         )
 
     async def prepare(self) -> None:
-        """Read the disk before any request is served."""
-        await self.store.load()
-        await self.load_bootstrap_grant()
-        self.leases.start()
-        self.proposer = self.make_proposer()
+        """Read the disk before any request is served; while it fails, try again.
+
+        A process that is told to stop meanwhile stays unprepared.
+        """
+        cause = ""
+        while not self.node.shutdown.requested.is_set():
+            try:
+                await self.store.load()
+                await self.load_bootstrap_grant()
+            except OSError as error:
+                if str(error) != cause:
+                    cause = str(error)
+                    self.node.log(log_events.DISK_WAITING, cause=cause)
+                await sleep_us(DISK_RETRY_DELAY_US)
+                continue
+            self.leases.start()
+            self.proposer = self.make_proposer()
+            return
 
     def background_tasks(self) -> dict[str, Any]:
         """Return the loops that the node keeps running, by the names that it logs."""
--- a/packages/logs/meadowdock/logs/catalogue.py
+++ b/packages/logs/meadowdock/logs/catalogue.py
@@ -51,6 +51,9 @@
     log_events.LISTENER_WAITING: EventKind(
         "listener_waiting", "an address can't be listened on: says why; it is tried again"
     ),
+    log_events.DISK_WAITING: EventKind(
+        "disk_waiting", "the disk fails at the start: says why; it is tried again"
+    ),
     log_events.CONNECTION_REJECTED: EventKind(
         "connection_rejected", "a peer failed the proof of the fleet key, or sent a malformed frame"
     ),
--- a/packages/runtime/meadowdock/runtime/disk.py
+++ b/packages/runtime/meadowdock/runtime/disk.py
@@ -50,8 +50,7 @@
     def __init__(self, root: str) -> None:
         self.threads = trio.CapacityLimiter(MAX_THREADS)
         self.write_locks: dict[str, trio.Lock] = {}  # by the name that is being written
-        self.root = os.path.abspath(root)
-        os.makedirs(self.root, exist_ok=True)
+        self.root = os.path.abspath(root)  # made by the first write
 
     def path(self, name: str) -> str:
         """Return the path of a file."""
--- a/tests/config_store/test_bootstrap.py
+++ b/tests/config_store/test_bootstrap.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
+import trio
 from core_fleet import SEEDS, SimulatedCore, configure_at
 
 from meadowdock.runtime import MILLISECOND, SECOND, sleep_us
 from meadowdock.simulator import run
+from meadowdock.simulator.disk import SimDisk
 
 START_US = 300 * MILLISECOND  # enough for a process to read its disk and open its listeners
 WATCHED_US = 8 * SECOND
@@ -109,3 +113,20 @@
         assert len(world.trace.events(601)) == 1
 
     run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_process_whose_disk_can_not_be_written_at_its_start_starts_once_it_can(seed):
+    async def scenario(world):
+        fleet = SimulatedCore(world, core=3)
+        host = fleet.hosts[1]
+        disk = world.disks["mdconf", host] = SimDisk(random.Random(seed))
+        disk.full = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.start)
+            await sleep_us(2 * SECOND)
+            assert [line["of"] for _, line in world.trace.events(112)] == [f"mdconf@{host}"]
+            disk.full = False
+        assert await fleet.wait_until_voters(fleet.hosts) <= 4 * SECOND
+
+    run(scenario, seed)
