Bodies that maxBodyBytes allows no longer take a proxy over its memory

Callers saw: proxies killed over memoryMb, with everything that they had in hand. Cause: a body existed four times at once (parts, joined, joined with the head, copied for what the kernel had not taken yet), and nothing bounded what all connections held together. Class: load that the limits allow, without a bound in the process.

A large body is now collected in one buffer and sent as a part of its own, without copies; unsent output is kept as views; frames of peers are collected without copying them at each read. Bodies in hand, of callers and of peers, take a third of memoryMb (new setting memory_mb) at most; a request that doesn't fit is answered 503, which has not run, at its head, with Retry-After; a single body always fits. The check for leaks of the gateways' tests also asks that nothing is reserved at the end.

Not bounded yet: bodies of answers, and frames of peers that are still arriving.

--- a/packages/forwarding/meadowdock/forwarding/call.py
+++ b/packages/forwarding/meadowdock/forwarding/call.py
@@ -18,7 +18,7 @@
     """The request ran: an endpoint's complete and checked response."""
 
     head: bytes  # status line and header lines, without the blank line
-    body: bytes
+    body: bytes | bytearray
     status: int
 
 
@@ -52,7 +52,7 @@
 
     id: bytes  # as the caller sent it
     head: bytes  # request line and header lines to forward, with the caller's name
-    body: bytes
+    body: bytes | bytearray
     service: str
     idempotent: bool
     deadline: int
--- a/packages/forwarding/meadowdock/forwarding/downstream.py
+++ b/packages/forwarding/meadowdock/forwarding/downstream.py
@@ -5,8 +5,10 @@
 import json
 from collections import deque
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from meadowdock.forwarding.byte_parts import Bytes, joined_parts
 from meadowdock.forwarding.call import Call, Outcome, Rejected, Served
 from meadowdock.forwarding.http import Request, RequestParser, status_line
 from meadowdock.forwarding.outcome_codes import NO_ANSWER
@@ -25,6 +27,8 @@
 KEEP_ALIVE_LINE = b"Keep-Alive: timeout=%d\r\n\r\n" % KEEP_ALIVE_S
 CLOSE_LINE = b"Connection: close\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+NO_MEMORY = "no memory for the body now"
+NO_MEMORY_RETRY = b"Retry-After: 1\r\n"
 BLOCKED_WRITE_TIMEOUT_US = 10 * SECOND  # a caller that reads nothing for this long is disconnected
 
 
@@ -32,15 +36,16 @@
     """The response to one request, which is sent after those to all earlier requests.
 
     Invariants: data is None until there is a response; call is None if the request was rejected
-    before it became a call.
+    before it became a call; body_bytes is what the budget holds for the request.
     """
 
-    __slots__ = ("data", "close", "call")
+    __slots__ = ("data", "close", "call", "body_bytes")
 
-    def __init__(self, close: bool) -> None:
-        self.data: tuple[bytes, bytes] | None = None  # head and body
+    def __init__(self, close: bool, body_bytes: int = 0) -> None:
+        self.data: tuple[bytes, Bytes] | None = None  # head and body
         self.close = close  # whether the connection is closed after the response
         self.call: Call | None = None
+        self.body_bytes = body_bytes
 
 
 class DownstreamConnection:
@@ -53,7 +58,9 @@
     def __init__(self, gateway: Gateway, connection: Connection) -> None:
         self.gateway, self.connection = gateway, connection
         connection.owner = self
-        self.requests = RequestParser(gateway.limits, gateway.dialect.header_names)
+        self.requests = RequestParser(
+            gateway.limits, gateway.dialect.header_names, gateway.body_budget
+        )
         self.pending: deque[PendingAnswer] = deque()
         self.reading_ended = False
         self.keep_alive_sent = False  # the idle time-out was announced to the caller
@@ -72,10 +79,14 @@
             complete, requests.complete = requests.complete, []
             for request in complete:
                 if self.reading_ended:  # the caller sends what is behind the last answer again
-                    break
+                    self.gateway.body_budget.release(len(request.body))
+                    continue
                 self.gateway.on_request(self, request)
             self.end_reading_if_closing()
-        if requests.error_status:
+        if requests.error_status == HTTPStatus.SERVICE_UNAVAILABLE:
+            self.gateway.counts["refused.memory"] += 1
+            self.end_with_error(503, NO_MEMORY, NO_MEMORY_RETRY)
+        elif requests.error_status:
             self.end_with_error(requests.error_status, "the request can't be read")
         self.send_continue()
         now = monotonic_us()
@@ -109,7 +120,7 @@
 
     def add_pending(self, request: Request) -> PendingAnswer:
         """Add a pending answer for a request and return it."""
-        pending = PendingAnswer(not request.keep_alive)
+        pending = PendingAnswer(not request.keep_alive, len(request.body))
         if not request.keep_alive:
             self.reading_ended = True
         self.pending.append(pending)
@@ -138,12 +149,13 @@
         """Answer an invalid request with an error."""
         self.send_error(self.add_pending(request), status, detail)
 
-    def end_with_error(self, status: int, detail: str) -> None:
+    def end_with_error(self, status: int, detail: str, lines: bytes = b"") -> None:
         """Answer an incomplete or malformed request and close the connection afterwards."""
         self.reading_ended = True
+        self.requests.release()
         pending = PendingAnswer(True)
         self.pending.append(pending)
-        self.send_error(pending, status, detail)
+        self.send_error(pending, status, detail, lines)
 
     def send_rejected(self, pending: PendingAnswer, rejected: Rejected) -> None:
         """Send an error response for a request that did not run, with the time for a retry."""
@@ -164,22 +176,24 @@
         )
         self.send(pending, head, body)
 
-    def send(self, ready: PendingAnswer, head: bytes, body: bytes) -> None:
+    def send(self, ready: PendingAnswer, head: bytes, body: Bytes) -> None:
         """Store a response and send all responses that are next in order."""
         ready.data = head, body
         pending = self.pending
         if pending[0] is not ready:
             return
-        out: list[bytes] = []
+        out: list[Bytes] = []
         closed = False
         while pending and (data := pending[0].data) is not None and not closed:
             answer = pending.popleft()
+            self.release_body(answer)
             closed = answer.close or self.is_last_answer()
             out += [data[0], CLOSE_LINE if closed else KEEP_ALIVE_LINE, data[1]]
             self.keep_alive_sent = True
         if self.connection.closed:
             return
-        self.connection.send(b"".join(out))
+        for part in joined_parts(out):
+            self.connection.send(part)
         if closed:
             self.finish()
         elif (
@@ -191,6 +205,11 @@
             self.send_continue()
         self.last_activity_at = monotonic_us()
 
+    def release_body(self, pending: PendingAnswer) -> None:
+        """Give back the memory of a request's body, once."""
+        self.gateway.body_budget.release(pending.body_bytes)
+        pending.body_bytes = 0
+
     def is_last_answer(self) -> bool:
         """Return whether the connection is closed after this response because of a shutdown.
 
@@ -237,6 +256,7 @@
     def finish(self) -> None:
         """Close the connection once all responses are sent."""
         self.reading_ended = True
+        self.requests.release()
         self.connection.finish()
         self.gateway.connections.discard(self)
 
@@ -252,7 +272,9 @@
         See `Dispatcher.cancel` for which of them still run to their end.
         """
         self.reading_ended = True
+        self.requests.release()
         self.gateway.connections.discard(self)
         for pending in list(self.pending):
+            self.release_body(pending)
             if pending.call is not None:
                 self.gateway.dispatcher.cancel(pending.call)
--- a/packages/forwarding/meadowdock/forwarding/gateway.py
+++ b/packages/forwarding/meadowdock/forwarding/gateway.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from meadowdock.configuration.items import DEFAULT_LIMITS
+from meadowdock.forwarding.body_budget import BodyBudget
 from meadowdock.forwarding.call import Rejected
 from meadowdock.forwarding.dispatcher import Dispatcher
 from meadowdock.forwarding.downstream import DownstreamConnection
@@ -76,7 +77,8 @@
         self.dispatcher = Dispatcher(
             network, reactor, registry, dialect, self.placement, self.retries, log
         )
-        self.peers = Peers(self.dispatcher, network, settings, rng, log)
+        self.body_budget = BodyBudget(settings.memory_mb)
+        self.peers = Peers(self.dispatcher, network, settings, rng, log, self.body_budget)
         self.dispatcher.peer_calls.peers = self.peers
         self.counts = self.dispatcher.counts
         self.admission = self.dispatcher.admission
--- a/packages/forwarding/meadowdock/forwarding/http.py
+++ b/packages/forwarding/meadowdock/forwarding/http.py
@@ -13,6 +13,8 @@
 
 import httptools
 
+from meadowdock.forwarding.body_budget import BodyBudget
+from meadowdock.forwarding.byte_parts import LARGE_BYTES
 from meadowdock.forwarding.exceptions import RequestRejected, ResponseTooLarge
 
 if TYPE_CHECKING:
@@ -49,7 +51,7 @@
     host: bytes
     lines: list[HeaderLine]  # to forward: end-to-end headers without Content-Length
     mesh_headers: dict[bytes, bytes]  # the dialect's headers in it, by lower-case name
-    body: bytes
+    body: bytes | bytearray
     keep_alive: bool
 
 
@@ -72,18 +74,57 @@
     ]
 
 
+class BodyBuffer:
+    """Collects the parts of a body; a large one is stored only once.
+
+    Invariant: size is the number of bytes.
+    """
+
+    __slots__ = ("parts", "large", "size")
+
+    def __init__(self) -> None:
+        self.parts: list[bytes] = []
+        self.large: bytearray | None = None
+        self.size = 0
+
+    def append(self, part: bytes) -> None:
+        """Add a part."""
+        self.size += len(part)
+        if self.large is not None:
+            self.large += part
+        elif self.size < LARGE_BYTES:
+            self.parts.append(part)
+        else:
+            self.large = bytearray().join([*self.parts, part])
+            self.parts = []
+
+    def take(self) -> bytes | bytearray:
+        """Return the body."""
+        return b"".join(self.parts) if self.large is None else self.large
+
+
 class RequestParser:
     """Parses the bytes from one caller into requests.
 
     Invariants: complete holds complete requests, in order; error_status is 0, or the status with
     which the connection ends, and then nothing more is fed; head_fed is an upper bound of the bytes
-    of the head that is being read, since it includes everything that arrived with its beginning.
+    of the head that is being read, since it includes everything that arrived with its beginning;
+    reserved is what the budget holds for the body that is being read, and a complete request takes
+    over a reservation of its body's length.
 
     :param mesh_header_names: the dialect's headers in lower case, which go to `mesh_headers` of a request
+    :param budget: the memory for bodies, by default without a limit
     """
 
-    def __init__(self, limits: Limits, mesh_header_names: Collection[bytes]) -> None:
+    def __init__(
+        self,
+        limits: Limits,
+        mesh_header_names: Collection[bytes],
+        budget: BodyBudget | None = None,
+    ) -> None:
         self.limits, self.mesh_header_names = limits, mesh_header_names
+        self.budget = budget or BodyBudget(None)
+        self.reserved = 0
         self.parser = httptools.HttpRequestParser(self)
         self.complete: list[Request] = []
         self.error_status = 0
@@ -114,8 +155,8 @@
         self.in_progress = self.in_head = True
         self.url = b""
         self.lines: list[HeaderLine] = []
-        self.chunks: list[bytes] = []
-        self.size = self.head_size = self.head_fed = 0
+        self.body = BodyBuffer()
+        self.head_size = self.head_fed = 0
         self.wants_continue = False
 
     def on_url(self, url: bytes) -> None:
@@ -147,8 +188,7 @@
             elif lower_name == b"transfer-encoding":
                 encodings.append(value.lower())
             elif lower_name == b"content-length" and value.isdigit():
-                if int(value) > self.limits.body_bytes:
-                    raise self.reject(413)
+                self.reserve(int(value))
             elif lower_name == b"expect":
                 self.wants_continue = True
             elif lower_name in mesh_header_names:
@@ -162,14 +202,31 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        self.size += len(body)
-        if self.size > self.limits.body_bytes:
+        self.body.append(body)
+        if self.body.size > self.reserved:  # its length wasn't declared
+            self.reserve(self.body.size)
+
+    def reserve(self, size: int) -> None:
+        """Reserve memory for a body.
+
+        :raises RequestRejected: it is larger than the limit, or there is not enough memory now.
+        """
+        if size > self.limits.body_bytes:
             raise self.reject(413)
-        self.chunks.append(body)
+        if not self.budget.reserve(size - self.reserved):
+            raise self.reject(503)
+        self.reserved = size
+
+    def release(self) -> None:
+        """Give back what is reserved for the body that is being read."""
+        self.budget.release(self.reserved)
+        self.reserved = 0
 
     def on_message_complete(self) -> None:
         """Add the complete request to `complete`."""
         self.in_progress = False
+        body, self.body = self.body.take(), BodyBuffer()
+        self.reserved -= len(body)
         parser = self.parser
         method = parser.get_method()
         if method == b"CONNECT":
@@ -186,7 +243,7 @@
                     if line[0].lower() not in mesh_header_names
                 ],
                 self.mesh_headers,
-                b"".join(self.chunks),
+                body,
                 parser.should_keep_alive(),
             )
         )
@@ -204,7 +261,7 @@
     status: int
     lines: list[HeaderLine]  # end-to-end headers without Content-Length
     mesh_headers: dict[bytes, bytes]  # the dialect's headers in it, by lower-case name
-    body: bytes
+    body: bytes | bytearray
     keep_alive: bool
     keep_alive_s: int | None  # the idle time-out that the endpoint announced, or None
 
@@ -234,8 +291,7 @@
         """Start a new response."""
         self.in_progress = self.in_head = True
         self.lines: list[HeaderLine] = []
-        self.chunks: list[bytes] = []
-        self.size = 0
+        self.body = BodyBuffer()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header line; trailers are ignored."""
@@ -250,10 +306,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        self.size += len(body)
-        if self.size > self.body_bytes_max:
+        self.body.append(body)
+        if self.body.size > self.body_bytes_max:
             raise ResponseTooLarge(self.body_bytes_max)
-        self.chunks.append(body)
 
     def on_message_complete(self) -> None:
         """Complete the response."""
@@ -282,7 +337,7 @@
         if not framed:
             self.malformed = True  # without a length it may be truncated
             return
-        body = b"".join(self.chunks)
+        body, self.body = self.body.take(), BodyBuffer()
         lines = end_to_end(self.lines)
         self.complete.append(Response(status, lines, mesh_headers, body, keep_alive, keep_alive_s))
 
--- a/packages/forwarding/meadowdock/forwarding/interfaces.py
+++ b/packages/forwarding/meadowdock/forwarding/interfaces.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
 
+from meadowdock.forwarding.byte_parts import Bytes
+
 
 class Logger(Protocol):
     """Writes one log event with its fields."""
@@ -110,7 +112,7 @@
     blocked_since: int  # since when no byte could be sent, 0 if nothing is buffered
     read_paused: Any  # not None while reading is paused
 
-    def send(self, data: bytes) -> None:
+    def send(self, data: Bytes) -> None:
         """Send data now, or buffer it until the other side reads."""
 
     def pause(self) -> None:
--- a/packages/forwarding/meadowdock/forwarding/peer_frames.py
+++ b/packages/forwarding/meadowdock/forwarding/peer_frames.py
@@ -45,12 +45,14 @@
 class FrameReader:
     """Splits a byte stream into frames.
 
-    Invariant: between two calls of feed(), partial holds at most one incomplete frame.
+    Invariant: between two calls of feed(), partial holds at most one incomplete frame, and wanted is
+    the size from which on more of it can be read.
     """
 
     def __init__(self, authenticator: FrameAuthenticator) -> None:
         self.authenticator = authenticator
-        self.partial = b""
+        self.partial = bytearray()
+        self.wanted = LENGTH_SIZE
 
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Yield the complete and authenticated frames.
@@ -60,21 +62,27 @@
 
         :raises PeerProtocolError: a frame is too long or fails authentication
         """
-        data = self.partial + data if self.partial else data
+        if self.partial:
+            self.partial += data
+            if len(self.partial) < self.wanted:
+                return
+            data, self.partial = bytes(self.partial), bytearray()
         start, size = 0, len(data)
+        self.wanted = LENGTH_SIZE
         while size - start >= LENGTH_SIZE:
             length = int.from_bytes(data[start : start + LENGTH_SIZE], "big")
             if length > MAX_FRAME_SIZE:
                 raise PeerProtocolError(f"frame of {length} bytes, {MAX_FRAME_SIZE} at most")
             end = start + LENGTH_SIZE + TAG_SIZE + length
             if end > size:
+                self.wanted = end - start
                 break
             body = self.authenticator.open(data[start + LENGTH_SIZE : end])
             if body is None:
                 raise PeerProtocolError(f"frame of {length} bytes fails authentication")
             start = end
             yield ormsgpack.unpackb(body)
-        self.partial = data[start:] if start else data
+        self.partial += data[start:]
 
 
 def encode_call(handle: Handle, call: Call, may_queue: bool, with_target: bool, now: int) -> Frame:
--- a/packages/forwarding/meadowdock/forwarding/peer_link.py
+++ b/packages/forwarding/meadowdock/forwarding/peer_link.py
@@ -14,7 +14,7 @@
 
 from meadowdock.forwarding.call import Call, Outcome, Rejected, Served
 from meadowdock.forwarding.exceptions import PeerProtocolError
-from meadowdock.forwarding.outcome_codes import CONNECTION_LOST
+from meadowdock.forwarding.outcome_codes import BUSY, CONNECTION_LOST
 from meadowdock.forwarding.peer_frames import (
     CALL,
     CANCEL,
@@ -370,16 +370,26 @@
         call = decode_call(
             frame, queueing_delay_us, now, lambda outcome: self.report(handle, outcome)
         )
+        if not self.peers.body_budget.reserve(len(call.body)):
+            self.send(encode_outcome(handle, Rejected(BUSY, 0)))
+            return
         self.running[handle] = call
         self.peers.dispatcher.dispatch_relocated(call)
 
     def report(self, handle: Handle, outcome: Outcome) -> None:
         """Send the outcome of a call to the peer."""
-        self.running.pop(handle, None)
+        self.release_body(self.running.pop(handle, None))
         self.send(encode_outcome(handle, outcome))
 
+    def release_body(self, call: Call | None) -> None:
+        """Give back the memory of a call's body."""
+        if call is not None:
+            self.peers.body_budget.release(len(call.body))
+
     def on_end(self, cause: object) -> None:
         """Cancel the calls of the link, as their outcomes can't be delivered any more."""
         self.peers.incoming.discard(self)
-        for call in list(self.running.values()):
+        running, self.running = self.running, {}
+        for call in running.values():
+            self.release_body(call)
             self.peers.dispatcher.cancel(call)
--- a/packages/forwarding/meadowdock/forwarding/peers.py
+++ b/packages/forwarding/meadowdock/forwarding/peers.py
@@ -10,6 +10,7 @@
 from meadowdock.runtime import MILLISECOND, PauseDetector, monotonic_us
 
 if TYPE_CHECKING:
+    from meadowdock.forwarding.body_budget import BodyBudget
     from meadowdock.forwarding.dispatcher import Dispatcher
     from meadowdock.forwarding.interfaces import Connection, Logger, Network, RandomSource
     from meadowdock.settings import ProcessSettings
@@ -37,7 +38,9 @@
         settings: ProcessSettings,
         rng: RandomSource,
         log: Logger,
+        body_budget: BodyBudget,
     ) -> None:
+        self.body_budget = body_budget
         self.dispatcher, self.calls = dispatcher, dispatcher.peer_calls
         self.network, self.reactor = network, dispatcher.reactor
         self.key, self.name = derive_key(settings.fleet_key, b"gate"), settings.node_name
--- a/packages/forwarding/meadowdock/forwarding/sockets.py
+++ b/packages/forwarding/meadowdock/forwarding/sockets.py
@@ -9,12 +9,14 @@
 
 import errno
 import socket
+from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import trio
 from trio.lowlevel import notify_closing, wait_readable, wait_writable
 
+from meadowdock.forwarding.byte_parts import LARGE_BYTES, Bytes
 from meadowdock.runtime import MILLISECOND, SECOND, Address, deadline_scope, monotonic_us, sleep_us
 
 if TYPE_CHECKING:
@@ -64,15 +66,15 @@
     def __init__(self, sock: socket.socket, network: SocketNetwork, peer: str = "") -> None:
         self.sock, self.network, self.peer = sock, network, peer
         self.owner: Any = None
-        self.unsent: list[bytes] = []
+        self.unsent: deque[Bytes] = deque()
         self.unsent_size = 0
         self.writing = self.closed = self.finishing = False
         self.read_paused: trio.Event | None = None  # set when reading continues
         # when the kernel last accepted or first refused bytes; 0 if none are unsent
         self.blocked_since = 0
 
-    def send(self, data: bytes) -> None:
-        """Send what the kernel accepts now, and the rest as soon as it does."""
+    def send(self, data: Bytes) -> None:
+        """Send what the kernel accepts now, and the rest as soon as it does; the data isn't copied."""
         if self.closed or self.finishing:
             return
         if not self.unsent:
@@ -84,7 +86,7 @@
                 return  # the reading task will get the same error
             if sent == len(data):
                 return
-            data = data[sent:]
+            data = memoryview(data)[sent:]
         self.unsent.append(data)
         self.unsent_size += len(data)
         if not self.writing:
@@ -97,17 +99,11 @@
         try:
             while self.unsent and not self.closed:
                 await wait_writable(self.sock)
-                data = b"".join(self.unsent)
-                sent = self.sock.send(data)
-                if sent:
-                    self.blocked_since = monotonic_us()
-                remaining = data[sent:]
-                self.unsent = [remaining] if remaining else []
-                self.unsent_size = len(remaining)
+                self.drop_unsent(self.sock.send(self.next_unsent()))
         except BlockingIOError:
             pass
         except (OSError, trio.ClosedResourceError):
-            self.unsent, self.unsent_size = [], 0
+            self.unsent, self.unsent_size = deque(), 0
         self.writing = False
         if self.unsent and not self.closed:
             self.writing = True
@@ -117,6 +113,21 @@
             if self.finishing:
                 self.half_close()
 
+    def next_unsent(self) -> Bytes:
+        """Return the first bytes to send; what is small in all is joined."""
+        if len(self.unsent) > 1 and self.unsent_size < LARGE_BYTES:
+            self.unsent = deque([b"".join(self.unsent)])
+        return self.unsent[0]
+
+    def drop_unsent(self, sent: int) -> None:
+        """Remove bytes that the kernel has accepted."""
+        if sent:
+            self.blocked_since = monotonic_us()
+        first = self.unsent.popleft()
+        if sent < len(first):
+            self.unsent.appendleft(memoryview(first)[sent:])
+        self.unsent_size -= sent
+
     def finish(self) -> None:
         """Close once all output is sent; input that still arrives is discarded."""
         if not self.finishing and not self.closed:
@@ -137,7 +148,7 @@
         """Close the connection now."""
         if not self.closed:
             self.closed = True
-            self.unsent, self.unsent_size = [], 0
+            self.unsent, self.unsent_size = deque(), 0
             self.resume()
             notify_closing(self.sock)
             self.sock.close()
--- a/packages/forwarding/meadowdock/forwarding/upstream.py
+++ b/packages/forwarding/meadowdock/forwarding/upstream.py
@@ -5,6 +5,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from meadowdock.forwarding.byte_parts import Bytes, joined_parts
 from meadowdock.forwarding.call import Call, Served
 from meadowdock.forwarding.http import Response, ResponseParser, response_head
 from meadowdock.forwarding.outcome_codes import (
@@ -73,7 +74,8 @@
         assert self.connection is not None
         self.call = call
         self.responses.for_head_request = call.is_head
-        self.connection.send(self.pool.request_bytes(call))
+        for part in joined_parts(self.pool.request_parts(call)):
+            self.connection.send(part)
 
     def on_data(self, data: bytes) -> None:
         """Handle bytes from the endpoint."""
@@ -186,23 +188,21 @@
         if call is not None and call.on_outcome is not None:
             self.local_calls.on_connect_failed(call, self.endpoint)
 
-    def request_bytes(self, call: Call) -> bytes:
+    def request_parts(self, call: Call) -> list[Bytes]:
         """Return a call as it is sent to the endpoint now, with its remaining time."""
         dialect = self.dialect
         left = max(0, call.deadline - monotonic_us()) // dialect.deadline_unit_us
-        return b"".join(
-            [
-                call.head,
-                b"%s: %d\r\n%s: %s\r\n\r\n"
-                % (
-                    dialect.deadline,
-                    left,
-                    dialect.target_instance,
-                    self.endpoint.incarnation.encode(),
-                ),
-                call.body,
-            ]
-        )
+        return [
+            call.head,
+            b"%s: %d\r\n%s: %s\r\n\r\n"
+            % (
+                dialect.deadline,
+                left,
+                dialect.target_instance,
+                self.endpoint.incarnation.encode(),
+            ),
+            call.body,
+        ]
 
     def on_response(self, upstream: UpstreamConnection, call: Call, response: Response) -> None:
         """Handle a response, after checking that it belongs to the call and whether the call ran."""
--- a/packages/settings/meadowdock/settings/model.py
+++ b/packages/settings/meadowdock/settings/model.py
@@ -76,6 +76,7 @@
     heartbeat_us: int = 500_000  # interval of the heartbeats of endpoints
     drain_us: int = 2 * SECOND  # how long an endpoint still serves after it reported draining
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
+    memory_mb: int | None = None  # megabytes that the process may use; None: not limited
 
     @property
     def node_name(self) -> str:
--- a/packages/settings/meadowdock/settings/schema.py
+++ b/packages/settings/meadowdock/settings/schema.py
@@ -26,6 +26,7 @@
 MAX_MEMBERS = 5
 MAX_NODES = 10_000
 MAX_SERVICE_LENGTH = 256  # characters
+MAX_MEMORY_MB = 1_000_000
 MAX_RESERVE = 1_000_000  # retries
 
 REQUIRED = ("host", "hall", "seeds")
@@ -174,6 +175,7 @@
     "catch_up_us": DURATION_US,
     "beat_us": DURATION_US,
     "drain_us": DURATION_US,
+    "memory_mb": integer_rule(1, MAX_MEMORY_MB),
     "tries": Rule(RETRY_BUDGET_SCHEMA, is_retry_budget),
 }
 SCHEMA: Schema = {
--- a/packages/settings/meadowdock/settings/validation.py
+++ b/packages/settings/meadowdock/settings/validation.py
@@ -42,6 +42,7 @@
     "catch_up_us",
     "beat_us",
     "drain_us",
+    "memory_mb",
 )
 
 
--- a/tests/support/gates.py
+++ b/tests/support/gates.py
@@ -120,6 +120,9 @@
             for service_name, load in registry.service_loads.items()
             if load.forwarded_now
         ]
+        held = gateway.body_budget.held
+        if held:
+            found.append(f"{name}: {held} bytes of bodies")
         found += [
             f"{name}: queue {service_name}"
             for service_name, queue in gateway.admission.queues.items()
