Soak of first starts: any order, kills, early signals, held ports, logs that nobody reads

No soak covered a start: bootstrap was always permitted, all processes were started at once and left alone until they were ready, logs went to files. 'mdsoak starts' permits the bootstrap at the first start alone, as the users' platform does, and disturbs it; then it serves and checks as the other soaks do. A majority of the core is never killed before its permission is on disk, since nothing tells that from lost disks.

--- a/packages/local_fleet/meadowdock/local_fleet/fleet.py
+++ b/packages/local_fleet/meadowdock/local_fleet/fleet.py
@@ -88,13 +88,18 @@
         """Start a Python module as a process of the fleet and return its handle."""
         log = os.path.join(self.folder, "logs", f"{name}.log")
         with open(log, "a", encoding="utf-8") as out:
-            handle = subprocess.Popen(
-                [sys.executable, "-m", *argv],
-                stdin=subprocess.DEVNULL,
-                stdout=stdout or out,
-                stderr=out,
-                start_new_session=True,
-            )
+            return self.spawn_to(name, argv, stdout or out, out)
+
+    def spawn_to(self, name, argv, stdout, stderr):
+        """Start a Python module as a process of the fleet with these outputs; return its handle."""
+        log = os.path.join(self.folder, "logs", f"{name}.log")
+        handle = subprocess.Popen(
+            [sys.executable, "-m", *argv],
+            stdin=subprocess.DEVNULL,
+            stdout=stdout,
+            stderr=stderr,
+            start_new_session=True,
+        )
         self.processes[name] = Process(name, argv, handle, log)
         return handle
 
@@ -175,6 +180,19 @@
 
         :raises AddressesInUse: nothing was started, and the folder was not touched.
         """
+        self.prepare_folder()
+        for host in self.core:
+            self.start_daemon("mdreg", host)
+            self.start_daemon("mdconf", host)
+        for host in self.application:
+            self.start_daemon("mdproxy", host)
+        self.wait_ready(self.operator_addresses)
+
+    def prepare_folder(self):
+        """Make an empty folder for the files of all processes.
+
+        :raises AddressesInUse: the folder was not touched.
+        """
         in_use = self.addresses_in_use()
         if in_use:
             raise AddressesInUse(in_use)
@@ -184,12 +202,6 @@
         with open(os.path.join(self.folder, "fleet.key"), "w", encoding="ascii") as key:
             key.write(secrets.token_hex(32))
         os.chmod(key.name, 0o600)
-        for host in self.core:
-            self.start_daemon("mdreg", host)
-            self.start_daemon("mdconf", host)
-        for host in self.application:
-            self.start_daemon("mdproxy", host)
-        self.wait_ready(self.operator_addresses)
 
     def configure(self, manifest=None):
         """Plan and confirm a manifest with mdctl, as an operator does, and return its version."""
--- a/packages/soak/meadowdock/soak/__main__.py
+++ b/packages/soak/meadowdock/soak/__main__.py
@@ -12,6 +12,7 @@
 
 from meadowdock.soak.restart_soak import run_restart_soak
 from meadowdock.soak.soak import Plan, Result, run_soak
+from meadowdock.soak.start_soak import run_start_soak
 
 
 def run_seeds(
@@ -37,7 +38,7 @@
 
 
 class Commands:
-    """Each soak runs on a loopback network of its own, 127.66.x.* or 127.67.x.*, and ends its processes."""
+    """Each soak runs on a loopback network of its own, 127.66.x.* to 127.68.x.*, and ends its processes."""
 
     def run(
         self,
@@ -73,6 +74,24 @@
 
         run_seeds(soak, seeds, first, "127.67", folder)
 
+    def starts(
+        self,
+        seeds: int = 10,
+        first: int = 1,
+        seconds: float = 3.0,
+        proxies: int = 4,
+        core: int = 3,
+        calls_per_s: float = 60.0,
+        folder: str | None = None,
+    ) -> None:
+        """Run one soak of the first start per seed; the exit status is 1 after any violation."""
+        plan = Plan(seconds, 0, calls_per_s)
+
+        def soak(seed: int, net: str, run_folder: str) -> Result:
+            return run_start_soak(seed, plan, net, run_folder, proxies, core)
+
+        run_seeds(soak, seeds, first, "127.68", folder)
+
 
 def main() -> None:
     """Run the command line."""
--- a/packages/soak/meadowdock/soak/daemon.py
+++ b/packages/soak/meadowdock/soak/daemon.py
@@ -16,6 +16,7 @@
 from meadowdock.config_store.server import ConfigStore
 from meadowdock.forwarding import Dialect
 from meadowdock.process import Node, watch_signals
+from meadowdock.process.early_signals import EarlySignals
 from meadowdock.proxy.exceptions import RegistrationDenied
 from meadowdock.proxy.gateway import GatewayProxy
 from meadowdock.registry.server import RegistryServer
@@ -67,7 +68,11 @@
 
 
 async def serve(
-    settings: ProcessSettings, boot_file: str, partitions_file: str, pauses_file: str
+    settings: ProcessSettings,
+    earlier: EarlySignals,
+    boot_file: str,
+    partitions_file: str,
+    pauses_file: str,
 ) -> None:
     """Run the daemon until a signal stops it."""
     partitions = Partitions(partitions_file, settings.host)
@@ -79,11 +84,13 @@
             Disk(settings.data) if settings.data else NoDisk(),
         )
         node = Node(settings, runtime, nursery)
-        nursery.start_soon(watch_signals, node)
+        nursery.start_soon(watch_signals, node, earlier)
         nursery.start_soon(watch_reload, node, boot_file)
         nursery.start_soon(record_pauses, settings.node_name, pauses_file)
         await node.run(daemon_type(settings.role))
 
 
 if __name__ == "__main__":
-    trio.run(serve, load_settings(sys.argv[1], sys.argv[2]), *sys.argv[2:])
+    early_signals = EarlySignals()
+    early_signals.watch()
+    trio.run(serve, load_settings(sys.argv[1], sys.argv[2]), early_signals, *sys.argv[2:])
--- a/packages/soak/meadowdock/soak/traffic.py
+++ b/packages/soak/meadowdock/soak/traffic.py
@@ -243,5 +243,6 @@
         for host in self.core:
             status, body = await self.send_http_request(None, f"{host}:7420", "GET", "/items")
             if status == 200:
-                return next(item["version"] for item in body["items"] if item["name"] == "safe")
+                versions = (item["version"] for item in body["items"] if item["name"] == "safe")
+                return next(versions, 0)
         return 0
