The record of how a process ended holds up neither its start nor its stop

The record is now kept beside the start, in threads that the end of the process abandons. The new test (the record is a pipe that blocks) failed on the former commit.

--- a/packages/process/meadowdock/process/run_record.py
+++ b/packages/process/meadowdock/process/run_record.py
@@ -6,6 +6,10 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
+from typing import Any
+
+import trio
 
 from meadowdock.logs import Log
 from meadowdock.logs import events as log_events
@@ -32,10 +36,10 @@
     async def begin(self) -> None:
         """Log how the previous process ended, and record that this one runs."""
         try:
-            content = await self.disk.read(FILE_NAME)
+            content = await abandonable(self.disk.read_in_thread, FILE_NAME)
             if content is not None:
                 self.log_previous_end(content)
-            await self.disk.write(FILE_NAME, encode(RUNNING))
+            await abandonable(self.disk.write_in_thread, FILE_NAME, encode(RUNNING))
         except OSError:
             pass
 
@@ -51,7 +55,7 @@
     async def stopping(self) -> None:
         """Record that this process was told to stop."""
         try:
-            await self.disk.write(FILE_NAME, encode(STOPPING))
+            await abandonable(self.disk.write_in_thread, FILE_NAME, encode(STOPPING))
         except OSError:
             pass
 
@@ -63,6 +67,11 @@
             pass
 
 
+async def abandonable(work: Callable[..., Any], *args: Any) -> Any:
+    """Run disk access in a thread that a stop doesn't wait for, as the disk may never answer."""
+    return await trio.to_thread.run_sync(work, *args, abandon_on_cancel=True)
+
+
 def encode(state: str, cause: str = "") -> bytes:
     """Return the content of the record."""
     return json.dumps({"state": state, "cause": cause}).encode()
--- a/packages/process/meadowdock/process/runner.py
+++ b/packages/process/meadowdock/process/runner.py
@@ -40,8 +40,9 @@
         signal.signal(signal.SIGTERM, signal.SIG_IGN)
 
 
-async def record_stop(node: Node, record: RunRecord) -> None:
-    """Note in the run record that the process was told to stop."""
+async def keep_record(node: Node, record: RunRecord) -> None:
+    """Keep the run record: that the process runs, and that it was told to stop."""
+    await record.begin()
     await node.shutdown.requested.wait()
     await record.stopping()
 
@@ -59,9 +60,7 @@
             node = Node(settings, Runtime(Net(settings.host), disk or NoDisk()), nursery)
             nursery.start_soon(watch_signals, node, earlier)
             if disk:
-                record = RunRecord(disk, node.log)
-                await record.begin()
-                nursery.start_soon(record_stop, node, record)
+                nursery.start_soon(keep_record, node, RunRecord(disk, node.log))
             await node.run(make_daemon)
     except Exception as error:
         if disk:
--- a/tests/process/test_process_end.py
+++ b/tests/process/test_process_end.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import subprocess
 import sys
 
@@ -108,3 +109,11 @@
     (previous,) = numbered(events, log_events.PREVIOUS_END)
     assert status == 0
     assert "damaged" in previous["ending"]
+
+
+def test_a_disk_that_does_not_answer_the_run_record_does_not_hold_up_the_start(tmp_path):
+    """Its pipe blocks whoever reads it, until somebody writes."""
+    os.mkfifo(tmp_path / "run")
+    status, events, _ = run_until_its_end("stop", f"{free_net()}.1", str(tmp_path))
+    assert numbered(events, log_events.STARTED)
+    assert status == 0
