Test of an address in use: read the log to its end without skipping lines

Traced to the test: after lines were read by iteration, communicate(timeout=...) reads the descriptor itself, and drops what iteration had read ahead; 111 and 101 had arrived together. A program that writes 'a' and 'b' at once and 'c' later gives 'c' alone that way. The test now reads the rest by the same reader; what it checks is unchanged.

--- a/tests/process/test_address_in_use.py
+++ b/tests/process/test_address_in_use.py
@@ -75,8 +75,8 @@
         time.sleep(0.05)
     assert is_live(host)
     process.send_signal(signal.SIGTERM)
-    _, log = process.communicate(timeout=30)
-    assert process.returncode == 0
+    log = process.stderr.read()  # not communicate, which skips the lines that were read ahead
+    assert process.wait(timeout=30) == 0
     assert waiting["address"] == f"{host}:{port}"
     numbers = [json.loads(line)["number"] for line in log.splitlines()]
     assert numbers.count(log_events.LISTENER_WAITING) == 0, "the wait is logged once"
