--- a/packages/forwarding/meadowdock/forwarding/sockets.py
+++ b/packages/forwarding/meadowdock/forwarding/sockets.py
@@ -99,7 +99,8 @@
         try:
             while self.unsent and not self.closed:
                 await wait_writable(self.sock)
-                self.drop_unsent(self.sock.send(self.next_unsent()))
+                if self.unsent:  # the connection may have been closed meanwhile
+                    self.drop_unsent(self.sock.send(self.next_unsent()))
         except BlockingIOError:
             pass
         except (OSError, trio.ClosedResourceError):
--- a/tests/forwarding/test_body_memory.py
+++ b/tests/forwarding/test_body_memory.py
@@ -115,3 +115,26 @@
         for frame in reader.feed(data[start : start + read_size])
     ]
     assert read == [bytes(65_535), b"x"] * 2
+
+
+def test_a_connection_that_is_closed_while_its_output_waits_ends_without_an_error(monkeypatch):
+    """The close comes after the socket has become writable, and before the task goes on."""
+
+    async def main():
+        near, far = socket.socketpair()
+        near.setblocking(False)
+        network = SocketNetwork("", None, Reactor())
+        connection = network.connection_type(near, network)
+
+        async def close_meanwhile(sock):
+            connection.close()
+
+        monkeypatch.setattr("meadowdock.forwarding.sockets.wait_writable", close_meanwhile)
+        connection.writing = True  # the task below drains
+        connection.send(bytes(10_000_000))
+        assert connection.unsent_size > 0
+        with far:
+            await connection.drain()
+        assert connection.unsent_size == 0
+
+    trio.run(main)
