A settings file that is late or half written is waited for, in place of ending the process

Cause: what isn't there yet was taken for what is wrong, at the first read. Change: an absent, unreadable, cut or incomplete file raises IncompleteSettings and is read again, with event 113 for each new cause. A wrong value still ends the process with status 2, now with event 108 beside its lines.

--- a/packages/logs/meadowdock/logs/catalogue.py
+++ b/packages/logs/meadowdock/logs/catalogue.py
@@ -54,6 +54,10 @@
     log_events.DISK_WAITING: EventKind(
         "disk_waiting", "the disk fails at the start: says why; it is tried again"
     ),
+    log_events.SETTINGS_WAITING: EventKind(
+        "settings_waiting",
+        "the settings file is absent or incomplete at the start: says why; it is read again",
+    ),
     log_events.CONNECTION_REJECTED: EventKind(
         "connection_rejected", "a peer failed the proof of the fleet key, or sent a malformed frame"
     ),
--- a/packages/settings/meadowdock/settings/__init__.py
+++ b/packages/settings/meadowdock/settings/__init__.py
@@ -1,15 +1,17 @@
 """The settings of a process, from files and flags, and the command line of the daemons."""
 
 from meadowdock.settings.command import build_command_line
-from meadowdock.settings.exceptions import InvalidSettings
+from meadowdock.settings.exceptions import IncompleteSettings, InvalidSettings
 from meadowdock.settings.loading import load_settings, shutdown_times
 from meadowdock.settings.model import ProcessSettings, RetryBudgetSettings
 from meadowdock.settings.schema import passes_checks, schema_errors
 from meadowdock.settings.validation import validate_settings
 from meadowdock.settings.version import VERSION
+from meadowdock.settings.waiting import wait_for_settings
 
 __all__ = [
     "VERSION",
+    "IncompleteSettings",
     "InvalidSettings",
     "ProcessSettings",
     "RetryBudgetSettings",
@@ -19,4 +21,5 @@
     "schema_errors",
     "shutdown_times",
     "validate_settings",
+    "wait_for_settings",
 ]
--- a/packages/settings/meadowdock/settings/exceptions.py
+++ b/packages/settings/meadowdock/settings/exceptions.py
@@ -1,4 +1,4 @@
-"""The exception of this package."""
+"""The exceptions of this package."""
 
 from __future__ import annotations
 
@@ -14,3 +14,10 @@
     def __init__(self, errors: Sequence[str]) -> None:
         super().__init__("\n".join(errors))
         self.errors = errors
+
+
+class IncompleteSettings(InvalidSettings):
+    """The settings can't be read, or lack something, but nothing in them is wrong.
+
+    They may be on their way: a file that is written only now looks like this.
+    """
