A fast series of changes no longer fills the disk of a core machine

What was seen: 1,200 changes in 30 s leave 71 MB of chunks on each core disk, none removed for 20 minutes; at that rate diskMb (256) is full in two minutes, and orders are refused from then on. Cause: nothing read diskMb; a superseded chunk stays for two lifetimes of an operator's plan, whatever the disk holds. Change: beyond a quarter of disk_mb, chunks that no retained revision refers to are removed a minute after their last use, the least recently used first. A plan that waits longer than a minute meanwhile is unknown, which its operator is told. The test fails without the limit (chunk_limit = None, the former behaviour); it passes with it.

--- a/packages/config_store/meadowdock/config_store/repair.py
+++ b/packages/config_store/meadowdock/config_store/repair.py
@@ -25,6 +25,9 @@
 FILES_PER_ROUND = 8
 KEY_RANGES = 16  # keys are compared by one digest for each range
 PLAN_LIFETIME_US = 600 * SECOND  # how long a plan can be committed
+CHANGE_TIME_US = 60 * SECOND  # longer than a change takes from its first chunk to its commit
+CHUNK_DISK_SHARE = 1 / 4  # of the disk; beyond it unreferenced chunks are removed early
+MEGABYTE = 1_000_000  # bytes
 RETAINED_VERSIONS = 32  # versions whose chunks are kept, to report changes since then
 REQUEST_TIMEOUT_US = SECOND
 
@@ -33,7 +36,8 @@
     """Scrubs, compares and garbage-collects, at one member.
 
     Invariants: a chunk is removed only after a quorum read of the current revision, while no
-    retained version refers to it and nobody requested it for two plan lifetimes; a key is repaired
+    retained version refers to it and nobody requested it for two plan lifetimes, or for
+    CHANGE_TIME_US while the chunks fill more than chunk_limit bytes; a key is repaired
     only with a value that another member accepted, as if that write had arrived late.
     """
 
@@ -56,6 +60,9 @@
         self.counts: Counter[str] = Counter()
         self.round_number = 0
         self.chunks_of_plan: dict[str, Iterable[str]] = {}  # plans never change
+        disk_mb = getattr(node.settings, "disk_mb", None)
+        self.chunk_limit = disk_mb and int(disk_mb * MEGABYTE * CHUNK_DISK_SHARE)
+        self.disk_crowded = False
 
     async def run(self) -> None:
         """Scrub and compare at a steady rate, as long as this member is a voter."""
@@ -191,8 +198,30 @@
             for plan_id, chunks in self.chunks_of_plan.items()
             if plan_id in plan_ids
         }
+        if self.chunk_limit:
+            await self.remove_least_recently_used(retained, self.chunk_limit)
         for name in await self.store.chunk_names():
-            if name not in retained and await self.store.remove_idle_chunk(
-                name, 2 * PLAN_LIFETIME_US
-            ):
-                self.counts["removed"] += 1
+            if name not in retained:
+                await self.remove_chunk(name, 2 * PLAN_LIFETIME_US)
+
+    async def remove_least_recently_used(self, retained: set[str], limit: int) -> None:
+        """Remove chunks that are not retained until the others fill `limit` bytes at most.
+
+        A plan of an operator may be lost by that before its lifetime is over; it is then unknown.
+        """
+        sizes = await self.store.chunk_sizes()
+        total = sum(sizes.values())
+        if self.disk_crowded != (total > limit):
+            self.disk_crowded = total > limit
+            self.node.log(log_events.DISK_CROWDED, crowded=self.disk_crowded, bytes=total)
+        for name in sorted(sizes.keys() - retained, key=self.store.chunk_last_used):
+            if total <= limit:
+                return
+            if await self.remove_chunk(name, CHANGE_TIME_US):
+                total -= sizes[name]
+
+    async def remove_chunk(self, name: str, idle_us: int) -> bool:
+        """Remove a chunk that was not requested within this time, and return whether it was."""
+        removed = await self.store.remove_idle_chunk(name, idle_us)
+        self.counts["removed"] += removed
+        return removed
--- a/packages/config_store/meadowdock/config_store/store.py
+++ b/packages/config_store/meadowdock/config_store/store.py
@@ -165,13 +165,22 @@
         names: list[str] = await self.disk.list_folder("blob")
         return names
 
+    async def chunk_sizes(self) -> dict[str, int]:
+        """Return the bytes of each chunk on this disk by its name."""
+        sizes: dict[str, int] = await self.disk.file_sizes("blob")
+        return sizes
+
+    def chunk_last_used(self, name: str) -> int:
+        """Return when a chunk was last requested, or when the process started if it never was."""
+        return self.chunk_used_at.get(name, self.started_at)
+
     async def remove_idle_chunk(self, name: str, idle_us: int) -> bool:
         """Remove a chunk that was not requested within this time.
 
         :returns: whether it was removed.
         """
         async with self.chunk_lock:
-            if monotonic_us() - self.chunk_used_at.get(name, self.started_at) < idle_us:
+            if monotonic_us() - self.chunk_last_used(name) < idle_us:
                 return False
             await self.disk.remove(f"blob/{name}")
             self.chunk_used_at.pop(name, None)
--- a/packages/logs/meadowdock/logs/catalogue.py
+++ b/packages/logs/meadowdock/logs/catalogue.py
@@ -121,6 +121,11 @@
     log_events.BOOTSTRAP_WAITING: EventKind(
         "bootstrap_waiting", "no members are known, and none can be fixed yet: says why"
     ),
+    log_events.DISK_CROWDED: EventKind(
+        "disk_crowded",
+        "chunks fill more than their share of the disk, so unreferenced ones are removed early; "
+        "or they no longer do",
+    ),
     log_events.LEASE_ACQUIRED: EventKind(
         "lease_acquired", "this process holds a lease under a new epoch"
     ),
--- a/packages/runtime/meadowdock/runtime/disk.py
+++ b/packages/runtime/meadowdock/runtime/disk.py
@@ -31,6 +31,9 @@
     async def list_folder(self, folder: str) -> list[str]:
         """Return the names in a folder, sorted."""
 
+    async def file_sizes(self, folder: str) -> dict[str, int]:
+        """Return the bytes of each file in a folder by its name."""
+
     async def remove(self, name: str) -> None:
         """Remove a file, if it exists."""
 
@@ -81,6 +84,12 @@
             self.list_folder_in_thread, folder, limiter=self.threads
         )
 
+    async def file_sizes(self, folder: str) -> dict[str, int]:
+        """Return the bytes of each file in a folder by its name."""
+        return await trio.to_thread.run_sync(
+            self.file_sizes_in_thread, folder, limiter=self.threads
+        )
+
     async def remove(self, name: str) -> None:
         """Remove a file, if it exists."""
         await trio.to_thread.run_sync(self.remove_in_thread, name, limiter=self.threads)
@@ -122,6 +131,16 @@
         except FileNotFoundError:
             return []
 
+    def file_sizes_in_thread(self, folder: str) -> dict[str, int]:
+        """Return the sizes of the files in a folder (blocking)."""
+        sizes = {}
+        for name in self.list_folder_in_thread(folder):
+            try:
+                sizes[name] = os.stat(os.path.join(self.path(folder), name)).st_size
+            except FileNotFoundError:
+                continue  # removed meanwhile
+        return sizes
+
     def rename_folder_in_thread(self, folder: str, new_name: str) -> None:
         """Rename a folder (blocking)."""
         if os.path.isdir(self.path(folder)):
@@ -170,6 +189,11 @@
         )
         return sorted({child for child in children if not child.endswith(TEMPORARY_SUFFIX)})
 
+    async def file_sizes(self, folder: str) -> dict[str, int]:
+        """Return the bytes of each file in a folder by its name."""
+        names = await self.list_folder(folder)
+        return {name: len(self.files[f"{folder}/{name}"]) for name in names}
+
     async def remove(self, name: str) -> None:
         """Remove a file, if it exists."""
         await trio.lowlevel.checkpoint()
--- a/packages/settings/meadowdock/settings/model.py
+++ b/packages/settings/meadowdock/settings/model.py
@@ -77,6 +77,7 @@
     drain_us: int = 2 * SECOND  # how long an endpoint still serves after it reported draining
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
     memory_mb: int | None = None  # megabytes that the process may use; None: not limited
+    disk_mb: int | None = None  # megabytes that the data folder may hold; None: not limited
 
     @property
     def node_name(self) -> str:
--- a/packages/settings/meadowdock/settings/schema.py
+++ b/packages/settings/meadowdock/settings/schema.py
@@ -27,6 +27,7 @@
 MAX_NODES = 10_000
 MAX_SERVICE_LENGTH = 256  # characters
 MAX_MEMORY_MB = 1_000_000
+MAX_DISK_MB = 1_000_000_000
 MAX_RESERVE = 1_000_000  # retries
 
 REQUIRED = ("host", "hall", "seeds")
@@ -176,6 +177,7 @@
     "beat_us": DURATION_US,
     "drain_us": DURATION_US,
     "memory_mb": integer_rule(1, MAX_MEMORY_MB),
+    "disk_mb": integer_rule(1, MAX_DISK_MB),
     "tries": Rule(RETRY_BUDGET_SCHEMA, is_retry_budget),
 }
 SCHEMA: Schema = {
--- a/packages/settings/meadowdock/settings/validation.py
+++ b/packages/settings/meadowdock/settings/validation.py
@@ -43,6 +43,7 @@
     "beat_us",
     "drain_us",
     "memory_mb",
+    "disk_mb",
 )
 
 
--- a/tests/config_store/test_repair.py
+++ b/tests/config_store/test_repair.py
@@ -211,3 +211,30 @@
         assert (await world.operate("GET", "/status"))[1]["disk_here"] == "good"
 
     run(scenario)
+
+
+def test_a_series_of_changes_does_not_fill_the_disk_with_superseded_chunks(monkeypatch):
+    monkeypatch.setattr(repair, "CHANGE_TIME_US", SECOND)
+    limit, changes = 200_000, 120
+
+    async def scenario(world):
+        await start_configured(world)
+        for host in world.core:
+            world.daemon("mdconf", host).repairer.chunk_limit = limit
+        routes = [manifest_route(f"w{n}", f"/balances{n}") for n in range(40)]
+        most = 0
+        for number in range(changes):
+            routes[0] = manifest_route(f"changed{number}", "/balances0")
+            assert await world.configure(manifest(routes), core=number % 3) == number + 2
+            await sleep_us(200 * MILLISECOND)
+            for host in world.core:
+                disk = world.disks["mdconf", host]
+                most = max(most, sum(len(disk.files[name]) for name in files(world, host, "blob")))
+        assert most < 2 * limit, (
+            most
+        )  # what came in the last CHANGE_TIME_US is kept beyond the limit
+        for core in range(3):
+            _, response = await world.operate("GET", "/manifest", core=core)
+            assert {w["name"] for w in response["manifest"]["ways"]} >= {f"changed{changes - 1}"}
+
+    run(scenario, application=())
