A core killed before it wrote anything bootstraps while a process of its first start runs

Cause: the permission to bootstrap is told at the first start alone, and until it is on a disk (0.2 s, longer on a loaded machine) only the process that ends has it. The others were told of the first start too, and nobody asked them. Change: where all bootstrap members answer, are blank, and too few have the permission, the first of them asks the processes that it knows. A process that started later testifies nothing. Open, still listed: where every process of the deployment is killed in that time, nobody is left to testify.

--- a/packages/config_store/meadowdock/config_store/bootstrap.py
+++ b/packages/config_store/meadowdock/config_store/bootstrap.py
@@ -4,6 +4,10 @@
 must be blank, and a majority of them must have the permission with the same list of members. An
 acknowledged write is on a majority of the first voters, and a disk that was lost has no permission,
 so a majority of blank disks with permission proves that nothing was ever acknowledged.
+
+In place of the permissions, the testimony of one process is enough that it has run since the first
+start with the same list of members, and never heard of a configuration: all first voters are blank,
+and more disks are never lost at once than is tolerated.
 """
 
 from __future__ import annotations
@@ -14,6 +18,7 @@
 from meadowdock.config_store.liveness import failure_domain_of
 from meadowdock.config_store.membership_configuration import MembershipConfiguration
 from meadowdock.logs import events as log_events
+from meadowdock.process.first_start import WITNESS_METHOD
 from meadowdock.runtime import monotonic_us
 
 NO_ANSWER = "no answer"
@@ -110,6 +115,23 @@
             and permitted[0] == self.node.settings.rpc_address
         )
 
+    async def may_bootstrap_by_testimony(self, answers):
+        """Whether this process is to bootstrap because another one testifies the first start."""
+        candidates = self.candidates(answers)
+        if (
+            self.operator_managed
+            or self.bootstrap_members[0] != self.node.settings.rpc_address
+            or len(candidates) < len(self.bootstrap_members)
+            or not all(candidate.blank for candidate in candidates.values())
+            or any(c.members not in ((), self.bootstrap_members) for c in candidates.values())
+        ):
+            return False
+        requests = {a: (a, WITNESS_METHOD, None) for a in self.node.membership.entries}
+        testimonies = await self.node.rpc.successful_responses(
+            requests, monotonic_us() + self.timing.hello_timeout_us
+        )
+        return list(self.bootstrap_members) in testimonies.values()
+
     async def bootstrap(self, answers):
         """Make the first membership configuration and send it to the others."""
         voters = {
--- a/packages/config_store/meadowdock/config_store/liveness.py
+++ b/packages/config_store/meadowdock/config_store/liveness.py
@@ -68,7 +68,7 @@
         newest = max(records, key=lambda record: record["version"], default=None)
         if newest is not None:
             await self.store.adopt(MembershipConfiguration.from_record(newest))
-        elif self.may_bootstrap(answers):
+        elif self.may_bootstrap(answers) or await self.may_bootstrap_by_testimony(answers):
             await self.bootstrap(answers)
         if self.store.membership is None:
             self.membership_known_at = monotonic_us()
--- a/packages/membership/meadowdock/membership/view.py
+++ b/packages/membership/meadowdock/membership/view.py
@@ -36,6 +36,7 @@
     Invariant: there is one entry for each address, the newest received, and there are at most
     VIEW_MAX entries of other roles and CORE_VIEW_MAX of core roles.
 
+    :ivar newest_version: the newest version of the configuration in any entry that was seen.
     :ivar removed: for REMOVED_RETENTION, the freshness of each member that left or was silent, so
         that an outdated entry can't bring it back.
     :ivar logged_incarnations: for the latest LOGGED_INCARNATIONS_MAX members that were not removed,
@@ -57,6 +58,7 @@
         self.entries: immutables.Map[str, KnownMember] = immutables.Map()
         self.removed: immutables.Map[str, RemovedMember] = immutables.Map()
         self.logged_incarnations: dict[str, int] = {}
+        self.newest_version = own_entry.version
         # called with each newer entry
         self.on_entry_updated: Callable[[MemberEntry], None] | None = None
         self.pause_detector = PauseDetector(PAUSE_THRESHOLD, 0)
@@ -72,6 +74,7 @@
     def advance_heartbeat(self, **changes: Any) -> None:
         """Increment the heartbeat of this process, and change other fields of its entry."""
         self.own_entry = self.own_entry._replace(heartbeat=self.own_entry.heartbeat + 1, **changes)
+        self.newest_version = max(self.newest_version, self.own_entry.version)
 
     def merge(self, entries: Iterable[MemberEntry], now: int) -> None:
         """Adopt the entries that are newer than the known ones."""
@@ -81,6 +84,7 @@
 
     def merge_entry(self, entry: MemberEntry, now: int) -> None:
         """Adopt an entry if it is newer than the known one of its address."""
+        self.newest_version = max(self.newest_version, entry.version)
         if entry.address == self.own_entry.address:
             self.supersede_previous_incarnation(entry)
             return
--- a/packages/process/meadowdock/process/node.py
+++ b/packages/process/meadowdock/process/node.py
@@ -17,6 +17,7 @@
 from meadowdock.logs import events as log_events
 from meadowdock.membership import GossipMembership, MemberEntry
 from meadowdock.process.daemon import Daemon
+from meadowdock.process.first_start import FirstStartWitness
 from meadowdock.process.health import with_health_checks
 from meadowdock.process.listeners import HttpListeners
 from meadowdock.process.listening import AddressQueue
@@ -60,6 +61,7 @@
             settings.rpc_address, settings.role, settings.zone, self.incarnation, 0, False, 0
         )
         self.membership = GossipMembership(entry, settings.seeds, runtime.rng, self.rpc, self.log)
+        self.first_start = FirstStartWitness(settings, self.membership)
         self.addresses = AddressQueue(self.log)
         self.stopping = False
         self.shutdown = GracefulShutdown(self)
@@ -104,7 +106,9 @@
             self.nursery.cancel_scope.cancel()
             return
         await self.serve_rpc(
-            self.daemon.rpc_handlers() | GossipMembership.handlers.bind(self.membership)
+            self.daemon.rpc_handlers()
+            | GossipMembership.handlers.bind(self.membership)
+            | FirstStartWitness.handlers.bind(self.first_start)
         )
         tasks = {"view": self.membership.run, **self.daemon.background_tasks()}
         for name, task in tasks.items():
--- a/packages/settings/meadowdock/settings/model.py
+++ b/packages/settings/meadowdock/settings/model.py
@@ -63,6 +63,7 @@
     service: str | None = None  # the service of the local endpoint
     app_address: str | None = None  # the address of the local endpoint
     may_bootstrap: bool = True  # whether this process may take part in a bootstrap
+    first_start: bool = False  # whether the whole deployment starts for the first time
     losses: int = 1  # members that may be lost at once; 2 * losses + 1 voters are wanted
     zone_losses: int = 0  # complete zones that may be lost at once
     region_losses: int = 0  # complete regions that may be lost at once
--- a/packages/settings/meadowdock/settings/schema.py
+++ b/packages/settings/meadowdock/settings/schema.py
@@ -164,6 +164,7 @@
     "app": ADDRESS,
     "service": SERVICE,
     "founding": FLAG,
+    "first_start": FLAG,
     "losses": LOSSES,
     "zone_losses": LOSSES,
     "region_losses": LOSSES,
--- a/packages/settings/meadowdock/settings/validation.py
+++ b/packages/settings/meadowdock/settings/validation.py
@@ -30,6 +30,7 @@
     "app",
     "service",
     "founding",
+    "first_start",
     "losses",
     "zone_losses",
     "region_losses",
--- a/tests/config_store/test_bootstrap.py
+++ b/tests/config_store/test_bootstrap.py
@@ -130,3 +130,63 @@
         assert await fleet.wait_until_voters(fleet.hosts) <= 4 * SECOND
 
     run(scenario, seed)
+
+
+async def start_with_proxies(world, fleet, first_start):
+    """Start two proxies, then a core whose disks are blank and without permission."""
+    boot = fleet.raw_settings
+    fleet.raw_settings = lambda role, host: {
+        **boot(role, host),
+        "first_start": first_start and role == "mdproxy",
+    }
+    for number in (1, 2):
+        await world.start("mdproxy", f"10.0.1.{number}")
+    fleet.may_bootstrap = False
+    await fleet.start()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_core_killed_before_it_wrote_anything_bootstraps_while_proxies_of_its_first_start_run(
+    seed,
+):
+    async def scenario(world):
+        fleet = SimulatedCore(world, core=3)
+        await start_with_proxies(world, fleet, first_start=True)
+        assert await fleet.wait_until_voters(fleet.hosts) <= 4 * SECOND
+        assert len(world.trace.events(601)) == 1
+        assert await configure_at(world, 1, fleet.hosts[2]) == 1
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_proxies_that_started_later_do_not_testify_a_first_start(seed):
+    async def scenario(world):
+        fleet = SimulatedCore(world, core=3)
+        await start_with_proxies(world, fleet, first_start=False)
+        await sleep_us(WATCHED_US)
+        assert not world.trace.events(601)
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_proxies_that_know_a_configuration_do_not_testify_a_first_start(seed):
+    """All disks are lost, which no deployment tolerates; its operators decide what to do."""
+
+    async def scenario(world):
+        fleet = SimulatedCore(world, core=3)
+        await start_with_proxies(world, fleet, first_start=True)
+        await fleet.wait_until_voters(fleet.hosts)
+        assert await configure_at(world, 1, fleet.hosts[0]) == 1
+        proxy = world.node("mdproxy", "10.0.1.1")
+        await world.eventually(lambda: proxy.membership.newest_version == 1)
+        kill(world, fleet.hosts)
+        for host in fleet.hosts:
+            world.lose_disk("mdconf", host)
+        world.kill("mdproxy@10.0.1.2")
+        await fleet.start()
+        await sleep_us(WATCHED_US)
+        assert len(world.trace.events(601)) == 1
+
+    run(scenario, seed)
