One connection that is not read no longer stops a proxy's maintenance

Cause: an event of trio was used as a bool, which raises, where the connection is asked whether it is paused. Change: it is compared with None. The test failed on the former code with event 105.

--- a/packages/forwarding/meadowdock/forwarding/downstream.py
+++ b/packages/forwarding/meadowdock/forwarding/downstream.py
@@ -233,7 +233,7 @@
         elif idle and now - self.last_activity_at > self.idle_max_us():
             self.drop()
         elif (
-            connection.read_paused
+            connection.read_paused is not None
             and len(self.pending) < PENDING_REQUESTS_MAX // 2
             and connection.unsent_size == 0
         ):
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -17,6 +17,7 @@
 from item_builders import route, service
 
 from meadowdock.load_sharing import NodeLoad
+from meadowdock.logs import events as log_events
 from meadowdock.runtime import MILLISECOND, SECOND, monotonic_us, sleep_us
 
 
@@ -153,6 +154,21 @@
     gated(scenario)
 
 
+def test_the_maintenance_goes_on_while_a_connection_is_not_read():
+    """A connection with many pipelined requests is not read until some of them are answered."""
+
+    async def scenario(world):
+        host = hosts(world)[0]
+        world.ends[host].work_us = lambda job: 50 * MILLISECOND
+        caller = await world.caller(host)
+        calls = [caller.ask(b"/p/%d" % number) for number in range(200)]
+        await wait_until_done(calls)
+        assert all(exchange.status for exchange in calls)
+        assert not world.trace.events(log_events.TASK_FAILED)
+
+    gated(scenario)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_endpoint_calls_through_its_own_gateway(seed):
     async def scenario(world):
