Callers that repeat an id no longer fill a proxy with idle connections to its endpoint

What was seen: in a crowd whose requests all have the same id, a proxy holds 298 connections to its endpoint, as many as its descriptors allow (16 slots, maxConnections 100), and answers nobody. Cause: a connection that has answered an id isn't used for that id again, since a late second answer couldn't be told from the new one; so each such call opens another, and idle ones were kept without a bound. Change: a pool keeps as many idle connections as the endpoint has slots, which is all that can be used at once; the one that rested longest is closed.

--- a/packages/forwarding/meadowdock/forwarding/upstream.py
+++ b/packages/forwarding/meadowdock/forwarding/upstream.py
@@ -127,7 +127,7 @@
     """The connections to one endpoint.
 
     Invariants: open connections are in `connections` until they end; idle is a subset of them, the
-    most recently used last; no connection is idle once the endpoint is removed; opening is the
+    most recently used last, and no more than the endpoint has slots; no connection is idle once the endpoint is removed; opening is the
     number of connections that are being opened.
     """
 
@@ -267,6 +267,8 @@
             return
         upstream.idle_until = now + keep_alive_us
         self.idle.append(upstream)
+        while len(self.idle) > max(1, self.endpoint.capacity):
+            self.idle[0].drop()
 
     def discard(self, upstream: UpstreamConnection) -> None:
         """Remove a connection that is closed or about to be closed."""
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -169,6 +169,25 @@
     gated(scenario)
 
 
+def test_a_caller_that_repeats_an_id_does_not_fill_the_proxy_with_idle_connections():
+    """No connection that has answered an id is used for that id again."""
+
+    async def scenario(world):
+        host = hosts(world)[0]
+        caller = await world.caller(host)
+        calls = [caller.ask(id=b"same") for _ in range(50)]
+        await wait_until_done(calls)
+        assert [exchange.status for exchange in calls] == [200] * 50
+        gateway = gateway_of(world, host)
+        (endpoint,) = world.daemon("mdproxy", host).endpoints.by_address.values()
+        open_connections = sum(
+            len(pool.connections) for pool in gateway.dispatcher.local_calls.pools.values()
+        )
+        assert 0 < open_connections <= endpoint.capacity
+
+    gated(scenario)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_endpoint_calls_through_its_own_gateway(seed):
     async def scenario(world):
