Calls that have left a queue are no longer kept in memory with their bodies

What was seen: beside 80 clients with pipelined bodies of 60 KB, 499 of 672 calls in a proxy's memory were finished, and 27 MB of bodies with them; each was still referenced by its entry in a queue's heap. Cause: a call that leaves a queue (a rejected or cancelled one, or one whose time is over) stayed in the heap until its entry came to the top. Change: the heap is rebuilt without the calls that have left once they outnumber those that wait; the order in which calls are taken is the same. The test failed on the former code (more than 30 entries for 3 calls that wait).

--- a/packages/forwarding/meadowdock/forwarding/wait_queue.py
+++ b/packages/forwarding/meadowdock/forwarding/wait_queue.py
@@ -7,13 +7,16 @@
 from meadowdock.forwarding.call import Call
 from meadowdock.forwarding.wait_estimates import misses_target
 
+SPARE_ENTRIES_MAX = 16  # of calls that have left, beside as many as calls that wait
+
 
 class WaitQueue:
     """Calls of one service that wait for a slot, here or at a peer.
 
     Invariants: calls are ordered by urgency, then by arrival; the `queue` of each call in it is
     this queue; waiting is the number of calls by urgency, and work_us is the total time for which
-    they will hold a slot, by urgency. A call's urgency and hold_us don't change while it is queued.
+    they will hold a slot, by urgency; the heap keeps entries of calls that have left, at most as many
+    as calls that wait and SPARE_ENTRIES_MAX. A call's urgency and hold_us don't change while it is queued.
     """
 
     def __init__(self) -> None:
@@ -38,6 +41,9 @@
         call.queue = None
         self.waiting[call.urgency] -= 1
         self.work_us[call.urgency] -= call.hold_us
+        if len(self.heap) > 2 * len(self) + SPARE_ENTRIES_MAX:
+            self.heap = [entry for entry in self.heap if self.is_current(entry)]
+            heapq.heapify(self.heap)
 
     def is_current(self, entry: tuple[int, int, Call]) -> bool:
         """Return whether a heap entry is still its call's position.
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -65,6 +65,18 @@
     assert [queue.pop(), queue.pop(), queue.pop()] == [second, first, None]
 
 
+def test_calls_that_have_left_are_not_kept_with_their_bodies():
+    queue, waiting = WaitQueue(), [make_call(urgency=urgency) for urgency in (5, 1, 3)]
+    for call in waiting:
+        queue.join(call)
+    for number in range(1000):
+        gone = make_call(urgency=number % 7)
+        queue.join(gone)
+        queue.leave(gone)
+    assert len(queue.heap) < 30
+    assert [queue.pop() for _ in range(4)] == [waiting[1], waiting[2], waiting[0], None]
+
+
 def test_queued_work_is_totalled_by_urgency():
     queue, first = WaitQueue(), make_call(hold_us=150)
     queue.join(first)
