One account of what clients hold; those that make no progress are given up for others

Cause: the budget counted declared bodies alone, not what is held (heads, lines, trailers, parts of two bytes at 56, requests that run, unread answers), a head could be 256 KiB longer than its limit, nothing limited a trailer, and nothing that stalls was ever given up. Requests beside pending ones are refused while the account is full, and not read while it is pressed. Feeds that complete nothing are limited by maxHeaderBytes (431), as are trailers. Bodies are collected in one buffer. Connections whose last answer isn't read stay in the account, and under the time-out.

--- a/packages/forwarding/meadowdock/forwarding/downstream.py
+++ b/packages/forwarding/meadowdock/forwarding/downstream.py
@@ -13,6 +13,7 @@
 from meadowdock.forwarding.http import Request, RequestParser, status_line
 from meadowdock.forwarding.outcome_codes import NO_ANSWER
 from meadowdock.runtime import SECOND, monotonic_us
+from meadowdock.runtime.client_memory import SMALL_BYTES
 
 if TYPE_CHECKING:
     from meadowdock.forwarding.gateway import Gateway
@@ -29,6 +30,9 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 NO_MEMORY = "no memory for the body now"
 NO_MEMORY_RETRY = b"Retry-After: 1\r\n"
+CALL_MEMORY_BYTES = 4096  # of the objects of a request that runs, beside its body
+# A connection that holds more than this for requests in progress is not read until some are answered.
+PIPELINE_MAX_BYTES = 1 << 18
 BLOCKED_WRITE_TIMEOUT_US = 10 * SECOND  # a caller that reads nothing for this long is disconnected
 
 
@@ -36,32 +40,32 @@
     """The response to one request, which is sent after those to all earlier requests.
 
     Invariants: data is None until there is a response; call is None if the request was rejected
-    before it became a call; body_bytes is what the budget holds for the request.
+    before it became a call; held_bytes is what the request takes of the process's memory.
     """
 
-    __slots__ = ("data", "close", "call", "body_bytes")
+    __slots__ = ("data", "close", "call", "held_bytes")
 
-    def __init__(self, close: bool, body_bytes: int = 0) -> None:
+    def __init__(self, close: bool, held_bytes: int = 0) -> None:
         self.data: tuple[bytes, Bytes] | None = None  # head and body
         self.close = close  # whether the connection is closed after the response
         self.call: Call | None = None
-        self.body_bytes = body_bytes
+        self.held_bytes = held_bytes
 
 
 class DownstreamConnection:
     """One connection of a caller.
 
-    Invariants: pending holds an entry for each request that was read and not yet answered, in order;
-    no request is read once `reading_ended` is set.
+    Invariants: pending holds an entry for each request that was read and not yet answered, in order,
+    and pending_bytes is the sum of their held_bytes; no request is read once `reading_ended` is set.
     """
 
     def __init__(self, gateway: Gateway, connection: Connection) -> None:
         self.gateway, self.connection = gateway, connection
         connection.owner = self
-        self.requests = RequestParser(
-            gateway.limits, gateway.dialect.header_names, gateway.body_budget
-        )
+        self.memory = gateway.memory.open(self)
+        self.requests = RequestParser(gateway.limits, gateway.dialect.header_names, self.memory)
         self.pending: deque[PendingAnswer] = deque()
+        self.pending_bytes = 0
         self.reading_ended = False
         self.keep_alive_sent = False  # the idle time-out was announced to the caller
         self.partial_request_since = 0  # when an incomplete request began to arrive, 0 if none has
@@ -74,14 +78,14 @@
             return
         requests = self.requests
         requests.feed(data)
-        if requests.complete:
+        has_completed = bool(requests.complete)
+        if has_completed:
             self.partial_request_since = 0  # the next request has only begun to arrive now
             complete, requests.complete = requests.complete, []
             for request in complete:
                 if self.reading_ended:  # the caller sends what is behind the last answer again
-                    self.gateway.body_budget.release(len(request.body))
-                    continue
-                self.gateway.on_request(self, request)
+                    break
+                self.take_request(request)
             self.end_reading_if_closing()
         if requests.error_status == HTTPStatus.SERVICE_UNAVAILABLE:
             self.gateway.counts["refused.memory"] += 1
@@ -90,16 +94,53 @@
             self.end_with_error(requests.error_status, "the request can't be read")
         self.send_continue()
         now = monotonic_us()
-        self.last_activity_at = now
+        if requests.has_advanced:
+            self.last_activity_at = now
         self.partial_request_since = (
             (self.partial_request_since or now) if requests.in_progress else 0
         )
-        if (
-            len(self.pending) >= PENDING_REQUESTS_MAX
-            or self.connection.unsent_size > UNSENT_MAX_BYTES
-        ):
+        self.memory.received(len(data), has_completed)
+        self.update_memory()
+        self.gateway.memory.relieve()
+        if self.is_busy():
             self.connection.pause()
 
+    def take_request(self, request: Request) -> None:
+        """Pass a complete request on, or reject it if there is no memory for it."""
+        is_small = len(request.body) < SMALL_BYTES and not self.pending
+        if self.gateway.memory.is_full() and not is_small:
+            self.gateway.counts["refused.memory"] += 1
+            self.answer_rejected(request, Rejected(NO_MEMORY, SECOND))
+        else:
+            self.gateway.on_request(self, request)
+
+    def is_busy(self) -> bool:
+        """Return whether no further requests are to be read before some are answered."""
+        unsent = self.connection.unsent_size
+        if len(self.pending) >= PENDING_REQUESTS_MAX or unsent > UNSENT_MAX_BYTES:
+            return True
+        return bool(self.pending) and (
+            self.pending_bytes + self.requests.held_bytes > PIPELINE_MAX_BYTES
+            or self.gateway.memory.is_pressed()
+        )
+
+    def update_memory(self) -> None:
+        """Enter what this connection holds into the account."""
+        held = self.requests.held_bytes + self.pending_bytes + self.connection.unsent_size
+        self.memory.resize(held)
+
+    def may_be_given_up(self) -> bool:
+        """Return whether its request is incomplete, or its answer isn't read."""
+        return bool(self.connection.blocked_since) or self.requests.in_progress
+
+    def give_up(self) -> None:
+        """Release what it holds: an incomplete request is refused, an unread answer cut off."""
+        self.gateway.counts["refused.memory"] += 1
+        if self.connection.blocked_since:
+            self.drop()
+        else:
+            self.end_with_error(503, NO_MEMORY, NO_MEMORY_RETRY)
+
     def end_reading_if_closing(self) -> None:
         """Read no further requests while this node stops and one is pending.
 
@@ -120,10 +161,11 @@
 
     def add_pending(self, request: Request) -> PendingAnswer:
         """Add a pending answer for a request and return it."""
-        pending = PendingAnswer(not request.keep_alive, len(request.body))
+        pending = PendingAnswer(not request.keep_alive, CALL_MEMORY_BYTES + len(request.body))
         if not request.keep_alive:
             self.reading_ended = True
         self.pending.append(pending)
+        self.pending_bytes += pending.held_bytes
         return pending
 
     def add_call(self, request: Request, call: Call) -> Callable[[Outcome], None]:
@@ -152,10 +194,11 @@
     def end_with_error(self, status: int, detail: str, lines: bytes = b"") -> None:
         """Answer an incomplete or malformed request and close the connection afterwards."""
         self.reading_ended = True
-        self.requests.release()
+        self.requests.discard()
         pending = PendingAnswer(True)
         self.pending.append(pending)
         self.send_error(pending, status, detail, lines)
+        self.update_memory()
 
     def send_rejected(self, pending: PendingAnswer, rejected: Rejected) -> None:
         """Send an error response for a request that did not run, with the time for a retry."""
@@ -186,7 +229,7 @@
         closed = False
         while pending and (data := pending[0].data) is not None and not closed:
             answer = pending.popleft()
-            self.release_body(answer)
+            self.pending_bytes -= answer.held_bytes
             closed = answer.close or self.is_last_answer()
             out += [data[0], CLOSE_LINE if closed else KEEP_ALIVE_LINE, data[1]]
             self.keep_alive_sent = True
@@ -196,19 +239,12 @@
             self.connection.send(part)
         if closed:
             self.finish()
-        elif (
-            len(pending) < PENDING_REQUESTS_MAX // 2
-            and self.connection.unsent_size <= UNSENT_MAX_BYTES
-        ):
+        elif len(pending) < PENDING_REQUESTS_MAX // 2 and not self.is_busy():
             self.connection.resume()
         if not closed:
             self.send_continue()
         self.last_activity_at = monotonic_us()
-
-    def release_body(self, pending: PendingAnswer) -> None:
-        """Give back the memory of a request's body, once."""
-        self.gateway.body_budget.release(pending.body_bytes)
-        pending.body_bytes = 0
+        self.update_memory()
 
     def is_last_answer(self) -> bool:
         """Return whether the connection is closed after this response because of a shutdown.
@@ -220,6 +256,7 @@
     def check_timeouts(self, now: int) -> None:
         """Enforce the time-outs for request heads, idle connections and blocked writes."""
         limits, connection = self.gateway.limits, self.connection
+        self.update_memory()
         idle = not self.pending and not self.requests.in_progress
         if connection.blocked_since and now - connection.blocked_since > BLOCKED_WRITE_TIMEOUT_US:
             self.drop()
@@ -236,6 +273,7 @@
             connection.read_paused is not None
             and len(self.pending) < PENDING_REQUESTS_MAX // 2
             and connection.unsent_size == 0
+            and not self.is_busy()
         ):
             connection.resume()
 
@@ -256,9 +294,8 @@
     def finish(self) -> None:
         """Close the connection once all responses are sent."""
         self.reading_ended = True
-        self.requests.release()
+        self.requests.discard()
         self.connection.finish()
-        self.gateway.connections.discard(self)
 
     def drop(self) -> None:
         """Close the connection now."""
@@ -272,9 +309,8 @@
         See `Dispatcher.cancel` for which of them still run to their end.
         """
         self.reading_ended = True
-        self.requests.release()
-        self.gateway.connections.discard(self)
+        self.requests.discard()
+        self.gateway.forget(self)
         for pending in list(self.pending):
-            self.release_body(pending)
             if pending.call is not None:
                 self.gateway.dispatcher.cancel(pending.call)
--- a/packages/forwarding/meadowdock/forwarding/gateway.py
+++ b/packages/forwarding/meadowdock/forwarding/gateway.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING, Any
 
 from meadowdock.configuration.items import DEFAULT_LIMITS
-from meadowdock.forwarding.body_budget import BodyBudget
 from meadowdock.forwarding.call import Rejected
 from meadowdock.forwarding.dispatcher import Dispatcher
 from meadowdock.forwarding.downstream import DownstreamConnection
@@ -24,6 +23,7 @@
 from meadowdock.forwarding.traffic_split import TrafficSplit
 from meadowdock.load_sharing import LoadList, NodeLoad
 from meadowdock.runtime import MILLISECOND, monotonic_us
+from meadowdock.runtime.client_memory import ClientMemory
 
 if TYPE_CHECKING:
     from meadowdock.configuration.items import ItemRoute, ItemTable, Limits
@@ -62,6 +62,7 @@
         rng: RandomSource,
         log: Logger,
         retry_budgets: RetryBudgets,
+        memory: ClientMemory | None = None,
     ) -> None:
         self.network, self.reactor, self.dialect = network, reactor, dialect
         self.call_id_name = dialect.call_id.lower()
@@ -77,8 +78,8 @@
         self.dispatcher = Dispatcher(
             network, reactor, registry, dialect, self.placement, self.retries, log
         )
-        self.body_budget = BodyBudget(settings.memory_mb)
-        self.peers = Peers(self.dispatcher, network, settings, rng, log, self.body_budget)
+        self.memory = memory or ClientMemory(settings.memory_mb, log)
+        self.peers = Peers(self.dispatcher, network, settings, rng, log, self.memory)
         self.dispatcher.peer_calls.peers = self.peers
         self.counts = self.dispatcher.counts
         self.admission = self.dispatcher.admission
@@ -122,6 +123,11 @@
         """Accept the connection of a caller."""
         self.connections.add(DownstreamConnection(self, connection))
 
+    def forget(self, downstream: DownstreamConnection) -> None:
+        """Drop a connection that is closed."""
+        self.connections.discard(downstream)
+        downstream.memory.close()
+
     def on_request(self, downstream: DownstreamConnection, request: Request) -> None:
         """Dispatch a complete request of a caller, or reject it at once."""
         now = self.last_arrival_at = monotonic_us()
@@ -169,8 +175,12 @@
         """Run the periodic maintenance: time-outs, reports and checks."""
         self.dispatcher.report(now, self.slowness.log_fields)
         self.peers.check_links(now)
+        self.memory.relieve()
         for connection in list(self.connections):
-            connection.check_timeouts(now)
+            if connection.connection.closed:  # after the end of its output
+                self.forget(connection)
+            else:
+                connection.check_timeouts(now)
         self.dispatcher.local_calls.close_expired(now)
         self.reactor.end_turn()
 
--- a/packages/forwarding/meadowdock/forwarding/http.py
+++ b/packages/forwarding/meadowdock/forwarding/http.py
@@ -13,12 +13,11 @@
 
 import httptools
 
-from meadowdock.forwarding.body_budget import BodyBudget
-from meadowdock.forwarding.byte_parts import LARGE_BYTES
 from meadowdock.forwarding.exceptions import RequestRejected, ResponseTooLarge
 
 if TYPE_CHECKING:
     from meadowdock.configuration.items import Limits
+    from meadowdock.runtime.client_memory import MemoryEntry
 
 HeaderLine = tuple[bytes, bytes]
 
@@ -36,8 +35,8 @@
     b"content-length",
     b"expect",
 }
-FEED_MAX_BYTES = 262_144  # the largest amount that is fed at once
 HEADER_LINE_OVERHEAD_BYTES = 4  # ": " and the line break
+HEADER_LINE_MEMORY_BYTES = 160  # of a header line's objects, beside its text
 PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 STATUSES_WITHOUT_BODY = (204, 304)
 
@@ -77,64 +76,74 @@
 class BodyBuffer:
     """Collects the parts of a body; a large one is stored only once.
 
-    Invariant: size is the number of bytes.
+    Invariant: size is the number of bytes; joined is None as long as there is one part at most.
     """
 
-    __slots__ = ("parts", "large", "size")
+    __slots__ = ("first", "joined", "size")
 
     def __init__(self) -> None:
-        self.parts: list[bytes] = []
-        self.large: bytearray | None = None
+        self.first = b""
+        self.joined: bytearray | None = None
         self.size = 0
 
     def append(self, part: bytes) -> None:
         """Add a part."""
-        self.size += len(part)
-        if self.large is not None:
-            self.large += part
-        elif self.size < LARGE_BYTES:
-            self.parts.append(part)
+        if self.joined is not None:
+            self.joined += part
+        elif not self.size:
+            self.first = part
         else:
-            self.large = bytearray().join([*self.parts, part])
-            self.parts = []
+            self.joined = bytearray(self.first)
+            self.joined += part
+            self.first = b""
+        self.size += len(part)
 
     def take(self) -> bytes | bytearray:
         """Return the body."""
-        return b"".join(self.parts) if self.large is None else self.large
+        if self.joined is None:
+            return self.first
+        return self.joined
 
 
 class RequestParser:
     """Parses the bytes from one caller into requests.
 
     Invariants: complete holds complete requests, in order; error_status is 0, or the status with
-    which the connection ends, and then nothing more is fed; head_fed is an upper bound of the bytes
-    of the head that is being read, since it includes everything that arrived with its beginning;
-    reserved is what the budget holds for the body that is being read, and a complete request takes
-    over a reservation of its body's length.
+    which the connection ends, and then nothing more is fed; stalled_bytes were fed since the last
+    feed that completed anything (a line, a part of a body or of a target); unparsed_bytes is an
+    upper bound of what the parser keeps of an incomplete line.
 
     :param mesh_header_names: the dialect's headers in lower case, which go to `mesh_headers` of a request
-    :param budget: the memory for bodies, by default without a limit
+    :param memory: admits bodies, by default all
     """
 
     def __init__(
         self,
         limits: Limits,
         mesh_header_names: Collection[bytes],
-        budget: BodyBudget | None = None,
+        memory: MemoryEntry | None = None,
     ) -> None:
-        self.limits, self.mesh_header_names = limits, mesh_header_names
-        self.budget = budget or BodyBudget(None)
-        self.reserved = 0
+        self.limits, self.mesh_header_names, self.memory = limits, mesh_header_names, memory
         self.parser = httptools.HttpRequestParser(self)
         self.complete: list[Request] = []
         self.error_status = 0
         self.in_progress = False  # a request has begun to arrive and is not complete
         self.in_head = False
-        self.head_size = self.head_fed = 0
+        self.head_size = self.trailer_size = self.stalled_bytes = self.unparsed_bytes = 0
+        self.has_advanced = False  # the bytes that are being fed complete something
         self.wants_continue = False
+        self.lines: list[HeaderLine] = []
+        self.body = BodyBuffer()
+
+    @property
+    def held_bytes(self) -> int:
+        """What the request that is being read takes of the process's memory."""
+        lines = self.head_size + len(self.lines) * HEADER_LINE_MEMORY_BYTES
+        return (lines if self.in_progress else 0) + self.unparsed_bytes + self.body.size
 
     def feed(self, data: bytes) -> None:
         """Parse more bytes; `complete` and `error_status` have the result."""
+        self.has_advanced = False
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -145,31 +154,42 @@
                 self.complete[-1].keep_alive = False
         except PARSER_ERRORS:
             self.error_status = self.error_status or 400
-        # the parser does not report an incomplete line, however long it is
-        self.head_fed = self.head_fed + len(data) if self.in_head else 0
-        if self.head_fed > self.limits.header_bytes + FEED_MAX_BYTES:
+        # the parser does not report an incomplete line, or empty ones, however long they are
+        if self.has_advanced:
+            self.stalled_bytes = 0
+            self.unparsed_bytes = len(data) if self.in_progress and self.in_head else 0
+        else:
+            self.stalled_bytes += len(data)
+            self.unparsed_bytes += len(data)
+        if self.stalled_bytes > self.limits.header_bytes:
             self.error_status = self.error_status or 431
 
     def on_message_begin(self) -> None:
         """Start a new request."""
-        self.in_progress = self.in_head = True
+        self.in_progress = self.in_head = self.has_advanced = True
         self.url = b""
-        self.lines: list[HeaderLine] = []
+        self.lines = []
         self.body = BodyBuffer()
-        self.head_size = self.head_fed = 0
+        self.head_size = self.trailer_size = 0
         self.wants_continue = False
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request's target."""
+        self.has_advanced = True
         self.url += url
         if len(self.url) > self.limits.header_bytes:
             raise self.reject(431)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header line; trailers are ignored."""
+        """Add a header line; trailers are counted, but ignored."""
+        self.has_advanced = True
+        size = len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES
         if not self.in_head:
+            self.trailer_size += size
+            if self.trailer_size > self.limits.header_bytes:
+                raise self.reject(431)
             return
-        self.head_size += len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES
+        self.head_size += size
         if self.head_size > self.limits.header_bytes:
             raise self.reject(431)
         self.lines.append((name, value))
@@ -177,6 +197,7 @@
     def on_headers_complete(self) -> None:
         """Check the headers that frame and address the request, and take out the mesh's headers."""
         self.in_head = False
+        self.has_advanced = True
         hosts: list[bytes] = []
         encodings: list[bytes] = []
         self.mesh_headers: dict[bytes, bytes] = {}
@@ -188,7 +209,7 @@
             elif lower_name == b"transfer-encoding":
                 encodings.append(value.lower())
             elif lower_name == b"content-length" and value.isdigit():
-                self.reserve(int(value))
+                self.admit(int(value))
             elif lower_name == b"expect":
                 self.wants_continue = True
             elif lower_name in mesh_header_names:
@@ -202,31 +223,32 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self.has_advanced = True
         self.body.append(body)
-        if self.body.size > self.reserved:  # its length wasn't declared
-            self.reserve(self.body.size)
+        if self.body.size > self.limits.body_bytes:
+            raise self.reject(413)
 
-    def reserve(self, size: int) -> None:
-        """Reserve memory for a body.
+    def admit(self, size: int) -> None:
+        """Check the declared length of a body.
 
         :raises RequestRejected: it is larger than the limit, or there is not enough memory now.
         """
         if size > self.limits.body_bytes:
             raise self.reject(413)
-        if not self.budget.reserve(size - self.reserved):
+        if self.memory is not None and not self.memory.admits(size):
             raise self.reject(503)
-        self.reserved = size
 
-    def release(self) -> None:
-        """Give back what is reserved for the body that is being read."""
-        self.budget.release(self.reserved)
-        self.reserved = 0
+    def discard(self) -> None:
+        """Drop the request that is being read; nothing more is fed."""
+        self.in_progress = self.in_head = False
+        self.lines, self.body = [], BodyBuffer()
+        self.stalled_bytes = self.unparsed_bytes = 0
 
     def on_message_complete(self) -> None:
         """Add the complete request to `complete`."""
         self.in_progress = False
+        self.has_advanced = True
         body, self.body = self.body.take(), BodyBuffer()
-        self.reserved -= len(body)
         parser = self.parser
         method = parser.get_method()
         if method == b"CONNECT":
--- a/packages/forwarding/meadowdock/forwarding/peer_link.py
+++ b/packages/forwarding/meadowdock/forwarding/peer_link.py
@@ -370,7 +370,7 @@
         call = decode_call(
             frame, queueing_delay_us, now, lambda outcome: self.report(handle, outcome)
         )
-        if not self.peers.body_budget.reserve(len(call.body)):
+        if not self.peers.memory.reserve(len(call.body)):
             self.send(encode_outcome(handle, Rejected(BUSY, 0)))
             return
         self.running[handle] = call
@@ -384,7 +384,7 @@
     def release_body(self, call: Call | None) -> None:
         """Give back the memory of a call's body."""
         if call is not None:
-            self.peers.body_budget.release(len(call.body))
+            self.peers.memory.release(len(call.body))
 
     def on_end(self, cause: object) -> None:
         """Cancel the calls of the link, as their outcomes can't be delivered any more."""
--- a/packages/forwarding/meadowdock/forwarding/peers.py
+++ b/packages/forwarding/meadowdock/forwarding/peers.py
@@ -10,9 +10,9 @@
 from meadowdock.runtime import MILLISECOND, PauseDetector, monotonic_us
 
 if TYPE_CHECKING:
-    from meadowdock.forwarding.body_budget import BodyBudget
     from meadowdock.forwarding.dispatcher import Dispatcher
     from meadowdock.forwarding.interfaces import Connection, Logger, Network, RandomSource
+    from meadowdock.runtime.client_memory import ClientMemory
     from meadowdock.settings import ProcessSettings
 
 RECONNECT_BACKOFF_US = 500 * MILLISECOND  # after a link has ended or could not be opened
@@ -38,9 +38,9 @@
         settings: ProcessSettings,
         rng: RandomSource,
         log: Logger,
-        body_budget: BodyBudget,
+        memory: ClientMemory,
     ) -> None:
-        self.body_budget = body_budget
+        self.memory = memory
         self.dispatcher, self.calls = dispatcher, dispatcher.peer_calls
         self.network, self.reactor = network, dispatcher.reactor
         self.key, self.name = derive_key(settings.fleet_key, b"gate"), settings.node_name
--- a/packages/logs/meadowdock/logs/catalogue.py
+++ b/packages/logs/meadowdock/logs/catalogue.py
@@ -58,6 +58,11 @@
         "settings_waiting",
         "the settings file is absent or incomplete at the start: says why; it is read again",
     ),
+    log_events.CLIENTS_GIVEN_UP: EventKind(
+        "clients_given_up",
+        "connections of clients were given up for want of memory or descriptors: says how many, "
+        "and what clients hold",
+    ),
     log_events.CONNECTION_REJECTED: EventKind(
         "connection_rejected", "a peer failed the proof of the fleet key, or sent a malformed frame"
     ),
--- a/tests/support/gates.py
+++ b/tests/support/gates.py
@@ -120,9 +120,9 @@
             for service_name, load in registry.service_loads.items()
             if load.forwarded_now
         ]
-        held = gateway.body_budget.held
+        held = gateway.memory.total
         if held:
-            found.append(f"{name}: {held} bytes of bodies")
+            found.append(f"{name}: {held} bytes held for clients")
         found += [
             f"{name}: queue {service_name}"
             for service_name, queue in gateway.admission.queues.items()
