Connections of clients are bounded below the descriptors of the process

What was seen: 500 connections to a proxy of 400 descriptors, idle or one byte short of a request, and no ordinary request is answered within 60 s; at readiness and the control planes all 400 descriptors are used. Cause: nothing was kept back for peers, the endpoint, readiness and operators, and nothing that rests was closed for somebody who has a request. Change: callers may take half of the descriptors, connections at the HTTP listeners an eighth.

--- a/packages/admin_http/meadowdock/admin_http/app.py
+++ b/packages/admin_http/meadowdock/admin_http/app.py
@@ -12,6 +12,7 @@
 from meadowdock.admin_http.routes import RouteTable
 from meadowdock.logs import events as log_events
 from meadowdock.runtime import monotonic_us
+from meadowdock.runtime.client_connections import ClientLimits
 
 HEALTH_CHECK_PATHS = ("/live", "/ready")
 MAY_HAVE_RUN_HEADERS = [(b"md-verdict", b"may-have-run")]
@@ -27,7 +28,8 @@
     fails.
     Invariant: requests_in_flight counts the requests that were received and not yet answered.
     last_request_us: when the last request other than a health check arrived, in microseconds of the
-    monotonic clock. closing: each response asks the client to close the connection.
+    monotonic clock. closing: each response asks the client to close the connection. client_limits:
+    what the connections of all listeners of the process may take; None for no limit.
     """
 
     def __init__(
@@ -37,6 +39,7 @@
         self.requests_in_flight = 0
         self.last_request_us = 0
         self.closing = False
+        self.client_limits: ClientLimits | None = None
 
     async def __call__(
         self,
--- a/packages/forwarding/meadowdock/forwarding/downstream.py
+++ b/packages/forwarding/meadowdock/forwarding/downstream.py
@@ -29,7 +29,8 @@
 CLOSE_LINE = b"Connection: close\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 NO_MEMORY = "no memory for the body now"
-NO_MEMORY_RETRY = b"Retry-After: 1\r\n"
+NO_CONNECTION = "no connection for the request now"
+RETRY_SOON = b"Retry-After: 1\r\n"
 CALL_MEMORY_BYTES = 4096  # of the objects of a request that runs, beside its body
 # A connection that holds more than this for requests in progress is not read until some are answered.
 PIPELINE_MAX_BYTES = 1 << 18
@@ -89,7 +90,7 @@
             self.end_reading_if_closing()
         if requests.error_status == HTTPStatus.SERVICE_UNAVAILABLE:
             self.gateway.counts["refused.memory"] += 1
-            self.end_with_error(503, NO_MEMORY, NO_MEMORY_RETRY)
+            self.end_with_error(503, NO_MEMORY, RETRY_SOON)
         elif requests.error_status:
             self.end_with_error(requests.error_status, "the request can't be read")
         self.send_continue()
@@ -139,7 +140,25 @@
         if self.connection.blocked_since:
             self.drop()
         else:
-            self.end_with_error(503, NO_MEMORY, NO_MEMORY_RETRY)
+            self.end_with_error(503, NO_MEMORY, RETRY_SOON)
+
+    def is_closed(self) -> bool:
+        """Return whether the descriptor is free again."""
+        return self.connection.closed
+
+    def may_be_closed(self) -> bool:
+        """Return whether no request runs whose answer may still be read."""
+        return not self.pending or bool(self.connection.blocked_since)
+
+    def last_progress_at(self) -> int:
+        """Return when the connection was opened or answered, or a request made progress."""
+        return self.memory.progress_at if self.requests.in_progress else self.last_activity_at
+
+    def close_now(self) -> None:
+        """Close the connection at once; an incomplete request is refused, if that can be sent."""
+        if self.requests.in_progress and not self.pending and not self.reading_ended:
+            self.end_with_error(503, NO_CONNECTION, RETRY_SOON)
+        self.drop()
 
     def end_reading_if_closing(self) -> None:
         """Read no further requests while this node stops and one is pending.
--- a/packages/forwarding/meadowdock/forwarding/gateway.py
+++ b/packages/forwarding/meadowdock/forwarding/gateway.py
@@ -23,6 +23,7 @@
 from meadowdock.forwarding.traffic_split import TrafficSplit
 from meadowdock.load_sharing import LoadList, NodeLoad
 from meadowdock.runtime import MILLISECOND, monotonic_us
+from meadowdock.runtime.client_connections import ClientConnections
 from meadowdock.runtime.client_memory import ClientMemory
 
 if TYPE_CHECKING:
@@ -40,6 +41,7 @@
     from meadowdock.settings import ProcessSettings
 
 NO_CONFIGURATION_RETRY_US = 200 * MILLISECOND
+CALLER_DESCRIPTOR_SHARE = 1 / 2  # of the process's descriptors, for connections of callers
 DEFAULT_CALLER_NAME = "guest"  # of the calling service if the settings don't name it
 # Addresses begin with a digit, so a random digit is a random starting point for round-robin.
 ADDRESS_FIRST_CHARACTERS = "0123456789"
@@ -85,6 +87,9 @@
         self.admission = self.dispatcher.admission
         self.slowness = SlownessEstimator(registry, self.admission, self.loads)
         self.connections: set[DownstreamConnection] = set()
+        self.connection_bound = ClientConnections.with_share(
+            CALLER_DESCRIPTOR_SHARE, settings.descriptors, self.memory
+        )
         self.closing = False  # connections are closed as soon as they have no pending request
         self.last_arrival_at = 0
 
@@ -120,12 +125,17 @@
         return max(1, len(self.loads.addresses()))
 
     def accept(self, connection: Connection) -> None:
-        """Accept the connection of a caller."""
-        self.connections.add(DownstreamConnection(self, connection))
+        """Accept the connection of a caller, or close it if there is no room for it."""
+        downstream = DownstreamConnection(self, connection)
+        if self.connection_bound.admit(downstream):
+            self.connections.add(downstream)
+        else:
+            downstream.drop()
 
     def forget(self, downstream: DownstreamConnection) -> None:
         """Drop a connection that is closed."""
         self.connections.discard(downstream)
+        self.connection_bound.discard(downstream)
         downstream.memory.close()
 
     def on_request(self, downstream: DownstreamConnection, request: Request) -> None:
--- a/packages/forwarding/meadowdock/forwarding/sockets.py
+++ b/packages/forwarding/meadowdock/forwarding/sockets.py
@@ -298,7 +298,8 @@
                 sock.close()
                 continue
             accept(connection)
-            self.nursery.start_soon(connection.read)
+            if not connection.closed:
+                self.nursery.start_soon(connection.read)
 
     def dial(self, address: str, deadline: int, owner: Any) -> None:
         """Connect by the deadline and call the owner's on_open(connection) or on_fail(cause)."""
--- a/packages/process/meadowdock/process/node.py
+++ b/packages/process/meadowdock/process/node.py
@@ -26,8 +26,12 @@
 from meadowdock.process.task_guard import GuardedNursery, run_guarded
 from meadowdock.rpc import ConnectionPool, Handlers, Peer, serve_connection
 from meadowdock.runtime import Runtime
+from meadowdock.runtime.client_connections import ClientConnections, ClientLimits
+from meadowdock.runtime.client_memory import ClientMemory
 from meadowdock.settings import ProcessSettings
 
+HTTP_DESCRIPTOR_SHARE = 1 / 8  # of the process's descriptors, for connections at its HTTP listeners
+
 
 class Node:
     """One process of the mesh.
@@ -62,6 +66,7 @@
         )
         self.membership = GossipMembership(entry, settings.seeds, runtime.rng, self.rpc, self.log)
         self.first_start = FirstStartWitness(settings, self.membership)
+        self.client_memory = ClientMemory(settings.memory_mb, self.log)
         self.addresses = AddressQueue(self.log)
         self.stopping = False
         self.shutdown = GracefulShutdown(self)
@@ -131,7 +136,13 @@
         """Return the HTTP apps by address: the process's own, with health checks, and the daemon's."""
         own = {self.settings.http_address: with_health_checks(self.daemon.routes)}
         routes = {**own, **self.daemon.listeners()}
-        return {address: App(table, self.daemon, self.log) for address, table in routes.items()}
+        apps = {address: App(table, self.daemon, self.log) for address, table in routes.items()}
+        connections = ClientConnections.with_share(
+            HTTP_DESCRIPTOR_SHARE, self.settings.descriptors, self.client_memory
+        )
+        for app in apps.values():
+            app.client_limits = ClientLimits(self.client_memory, connections)
+        return apps
 
     async def serve_rpc(self, handlers: Handlers) -> None:
         """Open the rpc listener, now or once its address is available."""
--- a/packages/process/meadowdock/process/runner.py
+++ b/packages/process/meadowdock/process/runner.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 
 import trio
 
@@ -69,6 +70,16 @@
         raise
 
 
+def with_descriptor_limit(settings: ProcessSettings) -> ProcessSettings:
+    """Return the settings with the limit of descriptors that the process has, if they name none."""
+    if settings.descriptors is not None:
+        return settings
+    import resource  # not needed where the settings name the limit
+
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return settings if limit == resource.RLIM_INFINITY else replace(settings, descriptors=limit)
+
+
 def start(make_daemon: Callable[[Node], Daemon]) -> Callable[[ProcessSettings], None]:
     """Return a function that runs a daemon with its settings and returns once it has ended.
 
@@ -76,6 +87,7 @@
     """
 
     def run(settings: ProcessSettings) -> None:
+        settings = with_descriptor_limit(settings)
         earlier = EarlySignals()
         earlier.watch()
         # other modules print there, too; it must not end the process or hold it up
--- a/packages/proxy/meadowdock/proxy/gateway.py
+++ b/packages/proxy/meadowdock/proxy/gateway.py
@@ -67,6 +67,7 @@
             node.runtime.rng,
             node.log,
             self,
+            node.client_memory,
         )
         self.endpoints.heartbeat_timeout_us = (
             MAX_MISSED_HEARTBEATS * settings.heartbeat_us + settings.heartbeat_us // 3
--- a/packages/runtime/meadowdock/runtime/http_connection.py
+++ b/packages/runtime/meadowdock/runtime/http_connection.py
@@ -34,18 +34,26 @@
     """An accepted connection as a stream of parsed requests.
 
     :ivar is_closing: returns whether the server is closing, so that no connection is kept alive.
+    :ivar is_receiving: bytes are waited for.
+    :ivar completed_at: when the last request was answered, 0 if none was.
     """
 
     def __init__(self, stream: trio.SocketStream, is_closing: Callable[[], bool]) -> None:
         self.stream, self.reader, self.is_closing = stream, RequestReader(), is_closing
         self.events = self.reader.events
+        self.is_receiving = False
+        self.completed_at = 0
 
     async def receive_more(self) -> None:
         """Receive bytes and parse them.
 
         :raises ConnectionEnded: the client closed the connection.
         """
-        data = await self.stream.receive_some(RECEIVE_SIZE)
+        self.is_receiving = True
+        try:
+            data = await self.stream.receive_some(RECEIVE_SIZE)
+        finally:
+            self.is_receiving = False
         if not data:
             raise ConnectionEnded
         self.reader.feed(data)
--- a/packages/runtime/meadowdock/runtime/http_server.py
+++ b/packages/runtime/meadowdock/runtime/http_server.py
@@ -10,6 +10,8 @@
 import trio
 
 from meadowdock.runtime.address import Address
+from meadowdock.runtime.client_connections import ClientLimits
+from meadowdock.runtime.clock import monotonic_us
 from meadowdock.runtime.exceptions import ConnectionEnded, InvalidHttpMessage
 from meadowdock.runtime.http_connection import Exchange, Message, RequestStream
 from meadowdock.runtime.http_messages import CONNECTION_ERRORS, response_head
@@ -34,6 +36,25 @@
         self.server, self.stream = server, stream
         self.requests = RequestStream(stream, lambda: server.closing)
         self.idle_scope: trio.CancelScope | None = None
+        self.opened_at = monotonic_us()
+        self.ended = False
+
+    def is_closed(self) -> bool:
+        """Return whether the descriptor is free again."""
+        return self.ended
+
+    def may_be_closed(self) -> bool:
+        """Return whether a request, or the rest of one, is waited for."""
+        return self.requests.is_receiving
+
+    def last_progress_at(self) -> int:
+        """Return when the connection was opened, or the last request on it was complete."""
+        return max(self.opened_at, self.requests.completed_at)
+
+    def close_now(self) -> None:
+        """Close the connection at once; a request that is incomplete has not run."""
+        self.ended = True
+        self.stream.socket.close()
 
     async def serve(self) -> None:
         """Serve requests until the connection ends."""
@@ -46,7 +67,7 @@
         except (ConnectionEnded, *CONNECTION_ERRORS):
             pass
         finally:
-            self.stream.socket.close()
+            self.close_now()
 
     async def serve_request(self, client: tuple[str, int]) -> bool:
         """Serve one request, and return whether the connection stays open.
@@ -57,6 +78,7 @@
         exchange = Exchange(self.requests, head)
         scope = {**head.scope, "client": client}
         await self.server.app(scope, exchange.receive, exchange.send)
+        self.requests.completed_at = monotonic_us()
         return await exchange.finish()
 
     async def next_head(self) -> RequestHead:
@@ -110,6 +132,7 @@
 
     def __init__(self, app: App) -> None:
         self.app, self.closing = app, False
+        self.limits: ClientLimits | None = getattr(app, "client_limits", None)
         self.connections: set[ServerConnection] = set()
 
     async def accept(self, stream: trio.SocketStream) -> None:
@@ -118,6 +141,9 @@
         An unexpected error ends this connection alone, if the app has a method to report it.
         """
         connection = ServerConnection(self, stream)
+        if self.limits and not self.limits.connections.admit(connection):
+            connection.close_now()
+            return
         self.connections.add(connection)
         try:
             await connection.serve()
@@ -128,6 +154,8 @@
             report(error)
         finally:
             self.connections.discard(connection)
+            if self.limits:
+                self.limits.connections.discard(connection)
 
     def close(self) -> None:
         """Close idle connections now, and the others after their current request."""
--- a/packages/settings/meadowdock/settings/model.py
+++ b/packages/settings/meadowdock/settings/model.py
@@ -78,6 +78,7 @@
     drain_us: int = 2 * SECOND  # how long an endpoint still serves after it reported draining
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
     memory_mb: int | None = None  # megabytes that the process may use; None: not limited
+    descriptors: int | None = None  # that the process may have open; None: not limited
     disk_mb: int | None = None  # megabytes that the data folder may hold; None: not limited
 
     @property
--- a/packages/settings/meadowdock/settings/schema.py
+++ b/packages/settings/meadowdock/settings/schema.py
@@ -28,6 +28,7 @@
 MAX_SERVICE_LENGTH = 256  # characters
 MAX_MEMORY_MB = 1_000_000
 MAX_DISK_MB = 1_000_000_000
+MAX_DESCRIPTORS = 1 << 30
 MAX_RESERVE = 1_000_000  # retries
 
 REQUIRED = ("host", "hall", "seeds")
@@ -179,6 +180,7 @@
     "drain_us": DURATION_US,
     "memory_mb": integer_rule(1, MAX_MEMORY_MB),
     "disk_mb": integer_rule(1, MAX_DISK_MB),
+    "descriptors": integer_rule(1, MAX_DESCRIPTORS),
     "tries": Rule(RETRY_BUDGET_SCHEMA, is_retry_budget),
 }
 SCHEMA: Schema = {
--- a/packages/settings/meadowdock/settings/validation.py
+++ b/packages/settings/meadowdock/settings/validation.py
@@ -45,6 +45,7 @@
     "drain_us",
     "memory_mb",
     "disk_mb",
+    "descriptors",
 )
 
 
