A body that makes no progress is given up

What was seen: five bodies one byte short, idleTimeout 2 s: no answer within 60 s, and each keeps its connection and its memory for as long as the client stays. Cause: only heads, idle connections and unread answers had a time-out.

--- a/packages/forwarding/meadowdock/forwarding/downstream.py
+++ b/packages/forwarding/meadowdock/forwarding/downstream.py
@@ -273,7 +273,7 @@
         return self.gateway.closing and not self.pending
 
     def check_timeouts(self, now: int) -> None:
-        """Enforce the time-outs for request heads, idle connections and blocked writes."""
+        """Enforce the time-outs for heads, stalled bodies, idle connections and blocked writes."""
         limits, connection = self.gateway.limits, self.connection
         self.update_memory()
         idle = not self.pending and not self.requests.in_progress
@@ -286,6 +286,14 @@
         ):
             self.partial_request_since = 0
             self.end_with_error(408, "the request's head took too long")
+        elif (
+            self.requests.in_progress
+            and not self.requests.in_head
+            and not self.pending
+            and connection.read_paused is None
+            and now - self.last_activity_at > limits.idle_us
+        ):
+            self.end_with_error(408, "the request's body makes no progress")
         elif idle and now - self.last_activity_at > self.idle_max_us():
             self.drop()
         elif (
--- a/packages/runtime/meadowdock/runtime/http_connection.py
+++ b/packages/runtime/meadowdock/runtime/http_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 import trio
@@ -22,6 +23,7 @@
     RequestReader,
 )
 
+BODY_TIMEOUT_S = 60.0  # without a byte of a body that is read
 LINGER_S = 1.0  # how long to receive and drop bytes after the last response
 
 Message = dict[str, Any]  # of ASGI
@@ -121,7 +123,10 @@
             self.expects_continue = False
             await self.connection.stream.send_all(CONTINUE)
         while not events:
-            await self.connection.receive_more()
+            with trio.move_on_after(BODY_TIMEOUT_S) as waiting:
+                await self.connection.receive_more()
+            if waiting.cancelled_caught:
+                raise InvalidHttpMessage(HTTPStatus.REQUEST_TIMEOUT)
         event = self.connection.next_event()
         if not isinstance(event, bytes):
             self.complete = True
--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -9,7 +9,7 @@
 import trio
 
 from meadowdock.admin_http import App, Response, RouteTable
-from meadowdock.runtime import HttpConnectionFailed, Net
+from meadowdock.runtime import HttpConnectionFailed, Net, http_connection
 
 HOST = "127.0.0.1"
 GET_REQUEST = b"GET /other HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -529,3 +529,18 @@
             assert requests == []
 
     trio.run(main)
+
+
+def test_a_body_that_makes_no_progress_is_given_up(monkeypatch):
+    monkeypatch.setattr(http_connection, "BODY_TIMEOUT_S", 0.05)
+
+    async def main():
+        async with http_server() as (address, received, *_):
+            stream = await open_connection(address)
+            async with stream:
+                head = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n"
+                await stream.send_all(head + b"x")
+                assert statuses(await receive_all(stream)) == [408]
+            assert not received.requests
+
+    trio.run(main)
