What clients send to the HTTP listeners is held in the account of the process, too

What was seen: 300 heads of 9,000 lines at the control plane take a config store to 343 MB of 80, 100 orders in chunks of two bytes to 303 MB, 40 orders of 4 MiB one byte short to 90 MB. Cause: the HTTP listeners had limits for a connection, and none for all of them; a body was kept as a list of its parts, one object each. Change: each connection enters what it has received of a request, with the objects of its header lines, into the account of the process; one that waits for the rest of a request is closed when it is the worst. A body is collected in one buffer.

--- a/packages/admin_http/meadowdock/admin_http/messages.py
+++ b/packages/admin_http/meadowdock/admin_http/messages.py
@@ -44,18 +44,16 @@
         length = self.header(b"content-length")
         if length and length.isdigit() and int(length) > limit:
             raise BodyTooLarge
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()  # the parts may be small, and an object for each would take more
         while True:
             event = await self.receive()
             if event["type"] == "http.disconnect":
                 raise ClientDisconnected
-            chunks.append(event.get("body", b""))
-            size += len(chunks[-1])
-            if size > limit:
+            body += event.get("body", b"")
+            if len(body) > limit:
                 raise BodyTooLarge
             if not event.get("more_body"):
-                return b"".join(chunks)
+                return bytes(body)
 
 
 @dataclass
--- a/packages/forwarding/meadowdock/forwarding/http.py
+++ b/packages/forwarding/meadowdock/forwarding/http.py
@@ -14,6 +14,7 @@
 import httptools
 
 from meadowdock.forwarding.exceptions import RequestRejected, ResponseTooLarge
+from meadowdock.runtime.client_memory import HEADER_LINE_MEMORY_BYTES
 
 if TYPE_CHECKING:
     from meadowdock.configuration.items import Limits
@@ -36,7 +37,6 @@
     b"expect",
 }
 HEADER_LINE_OVERHEAD_BYTES = 4  # ": " and the line break
-HEADER_LINE_MEMORY_BYTES = 160  # of a header line's objects, beside its text
 PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 STATUSES_WITHOUT_BODY = (204, 304)
 
--- a/packages/runtime/meadowdock/runtime/client_memory.py
+++ b/packages/runtime/meadowdock/runtime/client_memory.py
@@ -23,6 +23,7 @@
 FRESH_US = SECOND  # a body that made progress so recently is expected to arrive whole
 AGE_FLOOR_US = SECOND // 10  # so that connections of the same moment are ordered by what they hold
 LOG_INTERVAL_US = SECOND
+HEADER_LINE_MEMORY_BYTES = 160  # of a header line's objects, beside its text
 
 
 class Client(Protocol):
--- a/packages/runtime/meadowdock/runtime/http_connection.py
+++ b/packages/runtime/meadowdock/runtime/http_connection.py
@@ -36,14 +36,22 @@
     """An accepted connection as a stream of parsed requests.
 
     :ivar is_closing: returns whether the server is closing, so that no connection is kept alive.
+    :ivar on_received: called with the number of bytes after they were parsed.
     :ivar is_receiving: bytes are waited for.
+    :ivar is_parsing: bytes that were received are being entered into the account.
     :ivar completed_at: when the last request was answered, 0 if none was.
     """
 
-    def __init__(self, stream: trio.SocketStream, is_closing: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        is_closing: Callable[[], bool],
+        on_received: Callable[[int], None] = lambda size: None,
+    ) -> None:
+        self.on_received = on_received
         self.stream, self.reader, self.is_closing = stream, RequestReader(), is_closing
         self.events = self.reader.events
-        self.is_receiving = False
+        self.is_receiving = self.is_parsing = False
         self.completed_at = 0
 
     async def receive_more(self) -> None:
@@ -59,6 +67,9 @@
         if not data:
             raise ConnectionEnded
         self.reader.feed(data)
+        self.is_parsing = True
+        self.on_received(len(data))
+        self.is_parsing = False
 
     def next_event(self) -> RequestHead | bytes | RequestEnd:
         """Remove the next parsed event from the queue and return it.
--- a/packages/runtime/meadowdock/runtime/http_server.py
+++ b/packages/runtime/meadowdock/runtime/http_server.py
@@ -11,6 +11,7 @@
 
 from meadowdock.runtime.address import Address
 from meadowdock.runtime.client_connections import ClientLimits
+from meadowdock.runtime.client_memory import HEADER_LINE_MEMORY_BYTES, ClientMemory
 from meadowdock.runtime.clock import monotonic_us
 from meadowdock.runtime.exceptions import ConnectionEnded, InvalidHttpMessage
 from meadowdock.runtime.http_connection import Exchange, Message, RequestStream
@@ -34,11 +35,30 @@
 
     def __init__(self, server: HttpServer, stream: trio.SocketStream) -> None:
         self.server, self.stream = server, stream
-        self.requests = RequestStream(stream, lambda: server.closing)
+        self.requests = RequestStream(stream, lambda: server.closing, self.on_received)
+        memory = server.limits.memory if server.limits else ClientMemory(None)
+        self.memory = memory.open(self)
+        self.request_size = 0  # bytes received of the request, or requests, in hand
         self.idle_scope: trio.CancelScope | None = None
         self.opened_at = monotonic_us()
         self.ended = False
 
+    def on_received(self, size: int) -> None:
+        """Enter received bytes into the account of the process; this connection may be closed."""
+        self.request_size += size
+        lines = len(self.requests.reader.headers)
+        self.memory.received(size, is_complete=False)
+        self.memory.resize(self.request_size + lines * HEADER_LINE_MEMORY_BYTES)
+        self.memory.memory.relieve()
+
+    def may_be_given_up(self) -> bool:
+        """Return whether the rest of a request is waited for, or the next one."""
+        return self.requests.is_receiving or self.requests.is_parsing
+
+    def give_up(self) -> None:
+        """Close the connection; a request that is incomplete has not run."""
+        self.close_now()
+
     def is_closed(self) -> bool:
         """Return whether the descriptor is free again."""
         return self.ended
@@ -54,6 +74,7 @@
     def close_now(self) -> None:
         """Close the connection at once; a request that is incomplete has not run."""
         self.ended = True
+        self.memory.close()
         self.stream.socket.close()
 
     async def serve(self) -> None:
@@ -79,6 +100,8 @@
         scope = {**head.scope, "client": client}
         await self.server.app(scope, exchange.receive, exchange.send)
         self.requests.completed_at = monotonic_us()
+        self.request_size = 0
+        self.memory.resize(0)
         return await exchange.finish()
 
     async def next_head(self) -> RequestHead:
