A proxy's own answer to HEAD has no body

Cause: an answer of the proxy didn't know the method of its request. The test of the gateway failed on the former code.

--- a/packages/forwarding/meadowdock/forwarding/downstream.py
+++ b/packages/forwarding/meadowdock/forwarding/downstream.py
@@ -41,16 +41,18 @@
     """The response to one request, which is sent after those to all earlier requests.
 
     Invariants: data is None until there is a response; call is None if the request was rejected
-    before it became a call; held_bytes is what the request takes of the process's memory.
+    before it became a call; held_bytes is what the request takes of the process's memory; to_head
+    is whether its method is HEAD, so that the response has no body.
     """
 
-    __slots__ = ("data", "close", "call", "held_bytes")
+    __slots__ = ("data", "close", "call", "held_bytes", "to_head")
 
-    def __init__(self, close: bool, held_bytes: int = 0) -> None:
+    def __init__(self, close: bool, held_bytes: int = 0, to_head: bool = False) -> None:
         self.data: tuple[bytes, Bytes] | None = None  # head and body
         self.close = close  # whether the connection is closed after the response
         self.call: Call | None = None
         self.held_bytes = held_bytes
+        self.to_head = to_head
 
 
 class DownstreamConnection:
@@ -180,7 +182,11 @@
 
     def add_pending(self, request: Request) -> PendingAnswer:
         """Add a pending answer for a request and return it."""
-        pending = PendingAnswer(not request.keep_alive, CALL_MEMORY_BYTES + len(request.body))
+        pending = PendingAnswer(
+            not request.keep_alive,
+            CALL_MEMORY_BYTES + len(request.body),
+            request.method == b"HEAD",
+        )
         if not request.keep_alive:
             self.reading_ended = True
         self.pending.append(pending)
@@ -229,14 +235,14 @@
     def send_error(
         self, pending: PendingAnswer, status: int, detail: str, lines: bytes = b""
     ) -> None:
-        """Send an error response with a JSON body."""
+        """Send an error response with a JSON body, which isn't sent in response to HEAD."""
         body = json.dumps({self.gateway.dialect.error_field: detail}).encode()
         head = b"%s%sContent-Type: application/json\r\nContent-Length: %d\r\n" % (
             status_line(status),
             lines,
             len(body),
         )
-        self.send(pending, head, body)
+        self.send(pending, head, b"" if pending.to_head else body)
 
     def send(self, ready: PendingAnswer, head: bytes, body: Bytes) -> None:
         """Store a response and send all responses that are next in order."""
--- a/tests/forwarding/test_gateway_http.py
+++ b/tests/forwarding/test_gateway_http.py
@@ -113,6 +113,17 @@
     gated(scenario, application=("desk",))
 
 
+def test_an_own_response_to_head_has_no_body():
+    async def scenario(world):
+        head = b"HEAD /nowhere/x HTTP/1.1\r\n%s\r\n" % HEAD_LINES
+        status, closed, received = await send_raw_bytes(world, head)
+        assert (status, closed) == (404, False)
+        assert received.endswith(b"\r\n\r\n")
+        assert b"Content-Length: " in received and b"Content-Length: 0\r\n" not in received
+
+    gated(scenario)
+
+
 @pytest.mark.parametrize("tear", (0, 1000))
 def test_limits_on_head_and_body(tear):
     async def scenario(world):
