--- a/packages/forwarding/meadowdock/forwarding/peer_link.py
+++ b/packages/forwarding/meadowdock/forwarding/peer_link.py
@@ -290,7 +290,10 @@
         if not self.ready or not len(self.pending):
             self.received_at = max(self.received_at, now - PING_INTERVAL_US)
             return
-        if now - self.received_at > SILENCE_TIMEOUT_US:
+        assert self.connection is not None  # as it is ready
+        # a peer that still takes a large call reads the ping behind it only afterwards
+        last_sign_at = max(self.received_at, self.connection.blocked_since)
+        if now - last_sign_at > SILENCE_TIMEOUT_US:
             self.close(f"nothing received within {SILENCE_TIMEOUT_US // MILLISECOND} ms")
         elif now - self.received_at > PING_INTERVAL_US:
             self.send([PING])
