Answers that are read slowly are not cut off by the idle time-out

Cause: a connection counted as idle once its answers were handed to it, though most of their bytes were unsent. The test failed on the former code, for kept and for closing connections.

--- a/packages/forwarding/meadowdock/forwarding/downstream.py
+++ b/packages/forwarding/meadowdock/forwarding/downstream.py
@@ -282,6 +282,8 @@
         """Enforce the time-outs for heads, stalled bodies, idle connections and blocked writes."""
         limits, connection = self.gateway.limits, self.connection
         self.update_memory()
+        if connection.unsent_size:  # the time-out of a blocked write applies
+            self.last_activity_at = now
         idle = not self.pending and not self.requests.in_progress
         if connection.blocked_since and now - connection.blocked_since > BLOCKED_WRITE_TIMEOUT_US:
             self.drop()
--- a/tests/forwarding/test_gateway_http.py
+++ b/tests/forwarding/test_gateway_http.py
@@ -7,6 +7,7 @@
 from raw_bytes import hosts, send_raw_bytes
 
 from meadowdock.configuration.items import DEFAULT_LIMITS
+from meadowdock.forwarding.downstream import KEEP_ALIVE_US
 from meadowdock.forwarding.http import RequestParser, ResponseParser
 from meadowdock.runtime import MILLISECOND, SECOND, monotonic_us, sleep_us
 
@@ -277,6 +278,22 @@
     gated(scenario, application=("desk",), endpoint={"slots": 100})
 
 
+@pytest.mark.parametrize("lines", ((), ((b"Connection", b"close"),)))
+def test_a_response_that_is_read_slowly_is_not_cut_off_as_idle(lines):
+    async def scenario(world):
+        host = hosts(world)[0]
+        world.ends[host].size = 900_000
+        caller = await world.caller(host)
+        caller.wire.pause()
+        exchange = caller.ask(lines=lines, due_ms=60_000)
+        await sleep_us(KEEP_ALIVE_US + 2 * SECOND)
+        caller.wire.resume()
+        await wait_until_done([exchange])
+        assert exchange.status == 200
+
+    gated(scenario, application=("desk",))
+
+
 def test_connection_is_closed_after_the_response_for_http_1_0_and_close():
     async def scenario(world):
         data = b"GET /p/x HTTP/1.1\r\n%sConnection: close\r\n\r\n" % HEAD_LINES.replace(
