A request on a connection that rested is not taken for one that stalls

Found by reading: a request that begins on a kept connection was aged from the end of the one before it, so that under pressure of memory or descriptors it was given up before older ones that stall. Change: its age counts from its beginning. The test failed on the former code.

--- a/packages/forwarding/meadowdock/forwarding/downstream.py
+++ b/packages/forwarding/meadowdock/forwarding/downstream.py
@@ -99,6 +99,8 @@
         now = monotonic_us()
         if requests.has_advanced:
             self.last_activity_at = now
+        if requests.in_progress and not self.partial_request_since:
+            self.memory.begin_request()
         self.partial_request_since = (
             (self.partial_request_since or now) if requests.in_progress else 0
         )
--- a/packages/runtime/meadowdock/runtime/client_memory.py
+++ b/packages/runtime/meadowdock/runtime/client_memory.py
@@ -57,6 +57,10 @@
         if is_complete or self.unmarked >= SMALL_BYTES:
             self.progress_at, self.unmarked = monotonic_us(), 0
 
+    def begin_request(self) -> None:
+        """Note that a request begins to arrive; the time before it doesn't count against it."""
+        self.progress_at, self.unmarked = monotonic_us(), 0
+
     def resize(self, size: int) -> None:
         """Set the bytes that are held; without effect after `close`."""
         if self in self.memory.entries:
--- a/tests/forwarding/test_body_memory.py
+++ b/tests/forwarding/test_body_memory.py
@@ -9,12 +9,14 @@
 import pytest
 import trio
 import trio.testing
+from gates import gated, gateway_of, wait_until_done
 
 from meadowdock.configuration.items import DEFAULT_LIMITS
 from meadowdock.forwarding import Reactor, SocketNetwork
 from meadowdock.forwarding.http import RequestParser
 from meadowdock.forwarding.peer_frames import FrameReader
 from meadowdock.rpc.frame import FrameAuthenticator
+from meadowdock.runtime import SECOND, monotonic_us, sleep_us
 from meadowdock.runtime.client_memory import FRESH_US, MEGABYTE, ClientMemory
 
 MEMORY_MB = 3  # of which bodies may take a third
@@ -132,6 +134,24 @@
     assert large.status == 0
 
 
+def test_a_request_is_not_older_than_its_beginning_on_a_connection_that_rested():
+    async def scenario(world):
+        host = next(iter(world.application))
+        caller = await world.caller(host)
+        await wait_until_done([caller.ask()])
+        (downstream,) = gateway_of(world, host).connections
+        await sleep_us(2 * SECOND)
+        began_at = monotonic_us()
+        caller.wire.send(b"GET /p/x HT")
+        await sleep_us(SECOND)
+        assert downstream.requests.in_progress
+        assert downstream.memory.progress_at >= began_at
+        caller.wire.close()
+        await sleep_us(SECOND)
+
+    gated(scenario)
+
+
 def test_small_parts_are_held_at_their_size(memory):
     client = ParsedClient(memory)
     client.send(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
