--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -186,3 +186,13 @@
     with deployment(tmp_path) as running:
         running.wait_for(lambda: running.request("POST", bytes(BODY_BYTES)))
         running.check("mdproxy")
+
+
+def test_whole_requests_of_many_short_lines_whose_connections_stay(tmp_path):
+    head = b"GET /nowhere/x HTTP/1.1\r\nHost: a.example\r\n" + b"a:b\r\n" * (HEADER_BYTES // 7)
+    run_crowd(tmp_path, OUTBOUND, HEAD_CROWD, head + b"\r\n")
+
+
+def test_pipelined_requests_with_large_heads_whose_answers_are_not_read(tmp_path):
+    head = CALL + b"Content-Length: 0\r\nX-Large: " + b"x" * (HEADER_BYTES - 1_000) + b"\r\n\r\n"
+    run_crowd(tmp_path, OUTBOUND, BODY_CROWD, head * 300)
