--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -12,8 +12,9 @@
 import itertools
 import json
 import os
+import re
 import resource
-import select
+import selectors
 import socket
 import subprocess
 import sys
@@ -101,6 +102,36 @@
         """Log nothing."""
 
 
+@dataclass(frozen=True)
+class Limits:
+    """The limits of each process.
+
+    :ivar memory_mb: private memory, as memoryMb.
+    :ivar descriptors: as maxFileDescriptors, and RLIMIT_NOFILE.
+    :ivar address_space_mb: RLIMIT_AS, or None for no limit.
+    :ivar header_bytes: maxHeaderBytes.
+    :ivar body_bytes: maxBodyBytes.
+    """
+
+    memory_mb: int = MEMORY_MB
+    descriptors: int = DESCRIPTORS
+    address_space_mb: int | None = None
+    header_bytes: int = HEADER_BYTES
+    body_bytes: int = BODY_BYTES
+
+    def apply(self) -> None:
+        """Limit the calling process."""
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
+        if self.address_space_mb is not None:
+            size = self.address_space_mb * 1_000_000
+            resource.setrlimit(resource.RLIMIT_AS, (size, size))
+
+
+LOW_LIMITS = Limits()
+# of a sidecar machine in the example of the users' pages
+MACHINE_LIMITS = Limits(300, 4_100, None, 65_536, 64 << 20)
+
+
 @dataclass
 class Peak:
     """The most that a process has used.
@@ -124,8 +155,9 @@
         while self.process.poll() is None:
             with contextlib.suppress(OSError):
                 status = Path(f"/proc/{self.process.pid}/status").read_text()
-                used = next(line for line in status.splitlines() if line.startswith("RssAnon"))
-                self.peak.memory_kb = max(self.peak.memory_kb, int(used.split()[1]))
+                used = re.search(r"^RssAnon:\s*(\d+)", status, re.MULTILINE)
+                if used:  # a process that has ended has none
+                    self.peak.memory_kb = max(self.peak.memory_kb, int(used[1]))
                 count = len(os.listdir(f"/proc/{self.process.pid}/fd"))
                 self.peak.descriptors = max(self.peak.descriptors, count)
             time.sleep(0.005)
@@ -134,8 +166,10 @@
 class Deployment:
     """One core machine, and one proxy beside a stand-in endpoint."""
 
-    def __init__(self, folder: Path, idle_timeout: str = PATIENCE) -> None:
-        self.folder, self.idle_timeout = folder, idle_timeout
+    def __init__(
+        self, folder: Path, idle_timeout: str = PATIENCE, limits: Limits = LOW_LIMITS
+    ) -> None:
+        self.folder, self.idle_timeout, self.limits = folder, idle_timeout, limits
         net = free_net()
         self.core, self.side = f"{net}.1", f"{net}.11"
         self.watched: dict[str, Watched] = {}
@@ -154,8 +188,8 @@
                 core=self.core,
                 folder=self.folder,
                 app=APP,
-                memory_mb=MEMORY_MB,
-                descriptors=DESCRIPTORS,
+                memory_mb=self.limits.memory_mb,
+                descriptors=self.limits.descriptors,
                 ports=PORTS,
                 control=CONTROL,
                 inbound=INBOUND,
@@ -174,9 +208,7 @@
                 },
                 stdout=log,
                 stderr=log,
-                preexec_fn=lambda: resource.setrlimit(
-                    resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS)
-                ),
+                preexec_fn=self.limits.apply,
             )
         self.watched[role] = Watched(process)
         threading.Thread(target=self.watched[role].watch, daemon=True).start()
@@ -243,8 +275,8 @@
                 "limits",
                 "",
                 {
-                    "maxHeaderBytes": HEADER_BYTES,
-                    "maxBodyBytes": BODY_BYTES,
+                    "maxHeaderBytes": self.limits.header_bytes,
+                    "maxBodyBytes": self.limits.body_bytes,
                     "headerTimeout": PATIENCE,
                     "idleTimeout": self.idle_timeout,
                 },
@@ -298,9 +330,10 @@
     def check(self, role: str) -> None:
         """Check that a process lives, within its memory and its descriptors."""
         watched = self.watched[role]
-        assert watched.process.poll() is None, "the process has ended"
-        assert watched.peak.memory_kb <= MEMORY_MB * 1000, f"{watched.peak.memory_kb} kB"
-        assert watched.peak.descriptors < DESCRIPTORS, f"{watched.peak.descriptors} descriptors"
+        status, peak = watched.process.poll(), watched.peak
+        assert status is None, f"the process has ended with status {status}, after {peak}"
+        assert peak.memory_kb <= self.limits.memory_mb * 1000, f"{peak.memory_kb} kB"
+        assert peak.descriptors < self.limits.descriptors, f"{peak.descriptors} descriptors"
 
     def check_ordinary_callers(self) -> None:
         """Check that ordinary callers, the endpoint, the platform and the operator are answered."""
@@ -321,9 +354,11 @@
 
 
 @contextlib.contextmanager
-def deployment(folder: Path, idle_timeout: str = PATIENCE) -> Iterator[Deployment]:
+def deployment(
+    folder: Path, idle_timeout: str = PATIENCE, limits: Limits = LOW_LIMITS
+) -> Iterator[Deployment]:
     """Run a deployment that serves."""
-    running = Deployment(folder, idle_timeout)
+    running = Deployment(folder, idle_timeout, limits)
     try:
         running.begin()
         yield running
@@ -355,20 +390,24 @@
         """
         view = memoryview(data)
         left = dict.fromkeys(self.sockets, 0)
-        while left:
-            _, writable, _ = select.select([], list(left), [], quiet_s)
-            if not writable:
-                return
-            for sock in writable:
-                try:
-                    left[sock] += sock.send(view[left[sock] : left[sock] + SEND_BYTES])
-                except BlockingIOError:
-                    continue
-                except OSError:
-                    del left[sock]  # refused or closed
-                    continue
-                if left[sock] == len(data):
-                    del left[sock]
+        with selectors.DefaultSelector() as selector:
+            for sock in self.sockets:
+                selector.register(sock, selectors.EVENT_WRITE)
+            while left:
+                writable = [key.fileobj for key, _ in selector.select(quiet_s)]
+                if not writable:
+                    return
+                for sock in writable:
+                    try:
+                        left[sock] += sock.send(view[left[sock] : left[sock] + SEND_BYTES])
+                        is_done = left[sock] == len(data)
+                    except BlockingIOError:
+                        continue
+                    except OSError:
+                        is_done = True  # refused or closed
+                    if is_done:
+                        selector.unregister(sock)
+                        del left[sock]
 
     def close(self) -> None:
         """Close all connections."""
