--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -35,6 +35,8 @@
 ANSWERED_WITHIN_S = 60
 READY, OUTBOUND, INBOUND, CONTROL, APP = 18140, 18141, 18142, 18146, 18147
 PORTS = [17660, 17675]
+# the internal ports at which processes of a machine listen
+INTERNAL_PORTS = {"core": (17660, 17661, 17664, 17665), "sidecar": (17662, 17663, 17666)}
 SEND_BYTES = 65_536
 
 SETTINGS = """
