--- a/tests/crowds/test_crowds_of_thousands.py
+++ b/tests/crowds/test_crowds_of_thousands.py
@@ -29,6 +29,10 @@
 IDLE_CROWD_A_PORT = 4_000
 HEAD = b"GET / HTTP/1.1\r\nHost: c\r\n"
 REFUSED_HEAD = HEAD + b"a: b\r\n" * 21_800  # 128 KiB without an end: over the limit
+PIPELINE_CROWD = 600  # more than the connections that an HTTP listener takes
+PIPELINE = b"GET /nowhere HTTP/1.1\r\nHost: c\r\n\r\n" * 200_000
+FRAME_CROWD_A_PORT = 500
+UNFINISHED_FRAME = (1 << 24).to_bytes(4, "big") + b"x" * 1_000_000
 INCOMPLETE_HEAD = HEAD + b"a: b\r\n" * 10_000  # inside the limit
 CORE_ROLES, SIDE_ROLES = ("mdconf", "mdreg"), ("mdproxy",)
 IN_ADDRESS_SPACE = replace(MACHINE_LIMITS, address_space_mb=MACHINE_LIMITS.memory_mb)
@@ -86,3 +90,23 @@
 @pytest.mark.parametrize(("machine", "roles"), [("core", CORE_ROLES), ("sidecar", SIDE_ROLES)])
 def test_idle_connections_at_the_internal_ports_that_take_all_descriptors(tmp_path, machine, roles):
     run_crowds(tmp_path, roles, INTERNAL_PORTS[machine], IDLE_CROWD_A_PORT, MACHINE_LIMITS, b"")
+
+
+@pytest.mark.parametrize("listener", LISTENERS)
+def test_whole_requests_of_short_lines_whose_connections_stay(tmp_path, listener):
+    """The head of a request is not held after its answer."""
+    run_crowd(tmp_path, listener, MACHINE_LIMITS, INCOMPLETE_HEAD + b"\r\n")
+
+
+@pytest.mark.parametrize("listener", LISTENERS)
+def test_pipelined_requests_whose_answers_are_not_read(tmp_path, listener):
+    """A client that reads no answer does not hold its connection against all others."""
+    roles, ports, _ = LISTENERS[listener]
+    run_crowds(tmp_path, roles, ports, PIPELINE_CROWD, MACHINE_LIMITS, PIPELINE)
+
+
+@pytest.mark.parametrize(("machine", "roles"), [("core", CORE_ROLES), ("sidecar", SIDE_ROLES)])
+def test_frames_without_an_end_at_the_internal_ports(tmp_path, machine, roles):
+    """What a peer that has proved nothing sends is bounded."""
+    ports = INTERNAL_PORTS[machine]
+    run_crowds(tmp_path, roles, ports, FRAME_CROWD_A_PORT, MACHINE_LIMITS, UNFINISHED_FRAME)
