What a request was parsed into is released with its refusal, its end and its answer

Callers saw processes over memoryMb (FAULT): heads of short lines at any HTTP listener but the gateway's took 317 to 676 MB of 300.

Cause: the account counted bytes of requests in progress, while the objects lived on. A refused head stayed for the second in which its connection lingers, when it may not be given up; a closed one hung in a cycle of parser and reader until the garbage collector came; the head of an answered request stayed until the next one on its connection.

Change: the reader drops all it has parsed, and its parser, when the connection is refused or closed; a head belongs to its request alone and is counted until that is answered; a lingering connection may be closed for others; parts of a body in small chunks are joined.

--- a/packages/runtime/meadowdock/runtime/http_connection.py
+++ b/packages/runtime/meadowdock/runtime/http_connection.py
@@ -39,6 +39,7 @@
     :ivar on_received: called with the number of bytes after they were parsed.
     :ivar is_receiving: bytes are waited for.
     :ivar is_parsing: bytes that were received are being entered into the account.
+    :ivar is_lingering: the last response was sent, and what is still received is dropped.
     :ivar completed_at: when the last request was answered, 0 if none was.
     """
 
@@ -51,9 +52,13 @@
         self.on_received = on_received
         self.stream, self.reader, self.is_closing = stream, RequestReader(), is_closing
         self.events = self.reader.events
-        self.is_receiving = self.is_parsing = False
+        self.is_receiving = self.is_parsing = self.is_lingering = False
         self.completed_at = 0
 
+    def discard(self) -> None:
+        """Drop what was parsed; nothing more is."""
+        self.reader.discard()
+
     async def receive_more(self) -> None:
         """Receive bytes and parse them.
 
@@ -79,7 +84,7 @@
         event = self.events.popleft()
         if isinstance(event, InvalidHttpMessage):
             raise event
-        return event
+        return bytes(event) if isinstance(event, bytearray) else event
 
     async def close_after_response(self) -> None:
         """Close for sending, and drop for a while what is still received.
@@ -87,6 +92,7 @@
         Closing a connection with unread bytes would reset it, and the client could lose a response
         that is still on its way.
         """
+        self.is_lingering = True
         with trio.move_on_after(LINGER_S):
             await self.stream.send_eof()
             while await self.stream.receive_some(RECEIVE_SIZE):
@@ -105,7 +111,9 @@
     """
 
     def __init__(self, connection: RequestStream, request: RequestHead) -> None:
-        self.connection, self.scope = connection, request.scope
+        self.connection = connection
+        self.is_head = request.scope["method"] == "HEAD"
+        self.http_version = request.scope["http_version"]
         self.keep_alive, self.expects_continue = request.keep_alive, request.expects_continue
         self.complete = self.disconnected = self.answered = self.chunked = False
         self.head = b""
@@ -181,7 +189,7 @@
 
     def encode_body(self, data: bytes, more: bool) -> bytes:
         """Encode a part of the body, as a chunk if the response is chunked."""
-        if self.scope["method"] == "HEAD":
+        if self.is_head:
             return b""
         if not self.chunked:
             return data
@@ -195,10 +203,10 @@
         lowercase_headers = [(name.lower(), value) for name, value in headers]
         if b"close" in header_tokens(lowercase_headers, b"connection"):
             self.keep_alive = False
-        without_body = status < 200 or status in (204, 304) or self.scope["method"] == "HEAD"
+        without_body = status < 200 or status in (204, 304) or self.is_head
         framed = b"content-length" in names or b"transfer-encoding" in names
         if not without_body and not framed:
-            self.chunked = self.scope["http_version"] == "1.1"
+            self.chunked = self.http_version == "1.1"
             self.keep_alive = self.keep_alive and self.chunked
             if self.chunked:
                 headers.append((b"transfer-encoding", b"chunked"))
@@ -206,7 +214,7 @@
             self.keep_alive = False
         if not self.keep_alive and b"connection" not in names:
             headers.append((b"connection", b"close"))
-        elif self.keep_alive and self.scope["http_version"] == "1.0":
+        elif self.keep_alive and self.http_version == "1.0":
             headers.append((b"connection", b"keep-alive"))
         self.head = response_head(status, headers)
 
--- a/packages/runtime/meadowdock/runtime/http_request_reader.py
+++ b/packages/runtime/meadowdock/runtime/http_request_reader.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from meadowdock.runtime.client_memory import HEADER_LINE_MEMORY_BYTES
 from meadowdock.runtime.exceptions import InvalidHttpMessage
 from meadowdock.runtime.http_messages import (
     VALID_TARGET,
@@ -18,6 +19,8 @@
     path_and_query,
 )
 
+REQUEST_MEMORY_BYTES = 1_500  # of the objects of a request, beside its header lines
+
 Scope = dict[str, Any]  # of ASGI
 
 
@@ -28,11 +31,13 @@
     :ivar scope: the "http" scope of ASGI, without the client's address.
     :ivar keep_alive: the client wants to reuse the connection.
     :ivar expects_continue: the client sends the body only after "100 Continue".
+    :ivar held_bytes: what the head takes of the process's memory.
     """
 
     scope: Scope
     keep_alive: bool
     expects_continue: bool
+    held_bytes: int
 
 
 class RequestEnd:
@@ -40,7 +45,16 @@
 
 
 REQUEST_END = RequestEnd()
-RequestEvent = RequestHead | bytes | RequestEnd | InvalidHttpMessage
+RequestEvent = RequestHead | bytes | bytearray | RequestEnd | InvalidHttpMessage
+
+
+def event_size(event: RequestEvent) -> int:
+    """Return what a parsed event takes of the process's memory, in bytes."""
+    if isinstance(event, RequestHead):
+        return event.held_bytes
+    if isinstance(event, bytes | bytearray):
+        return len(event)
+    return 0
 
 
 class RequestReader(HeadParser):
@@ -57,12 +71,30 @@
         self.events: deque[RequestEvent] = deque()
         self.ended = False
         self.keep_alive = True
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.target = b""
 
+    @property
+    def held_bytes(self) -> int:
+        """What the head that is being read and the queued events take of the process's memory."""
+        lines = len(self.headers) * HEADER_LINE_MEMORY_BYTES
+        unfinished = self.size + lines if self.in_head else 0
+        return unfinished + sum(event_size(event) for event in self.events)
+
+    def discard(self) -> None:
+        """Drop all that was parsed; nothing more is.
+
+        The parser refers to this reader, so that both would wait for the garbage collector.
+        """
+        self.ended = True
+        self.in_head = False
+        self.events.clear()
+        self.headers, self.target = [], b""
+        self.parser = None
+
     def feed(self, data: bytes) -> None:
         """Parse bytes into events."""
-        while data and not self.ended:
+        while data and not self.ended and self.parser is not None:
             was_in_head, unparsed = self.in_head, b""
             try:
                 self.parser.feed_data(data)
@@ -85,7 +117,8 @@
     def reject(self, error: InvalidHttpMessage) -> None:
         """Queue an error as the last event."""
         if not self.ended:  # otherwise the invalid bytes follow the last request and are ignored
-            self.events.append(error)
+            # a new one, as the traceback of the first holds the bytes that were being parsed
+            self.events.append(InvalidHttpMessage(error.status))
         self.ended = True
 
     def on_message_begin(self) -> None:
@@ -100,17 +133,19 @@
 
     def on_headers_complete(self) -> None:
         """Check the head and queue it (callback of httptools)."""
-        if self.ended:
+        if self.ended or self.parser is None:
             return
         self.in_head = False
         version, method = self.parser.get_http_version(), self.parser.get_method()
-        self.check_framing(version, method)
+        self.check_framing(version, method, self.parser.should_upgrade())
         path, _, query = path_and_query(self.target).partition(b"?")
         connection = header_tokens(self.headers, b"connection")
         expected = header_tokens(self.headers, b"expect")
         self.keep_alive = b"close" not in connection and (
             version == "1.1" or b"keep-alive" in connection
         )
+        headers, self.headers = self.headers, []
+        held_bytes = REQUEST_MEMORY_BYTES + self.size + len(headers) * HEADER_LINE_MEMORY_BYTES
         scope = {
             "type": "http",
             "http_version": version,
@@ -119,12 +154,12 @@
             "path": path.decode("ascii"),
             "raw_path": path,
             "query_string": query,
-            "headers": self.headers,
+            "headers": headers,
         }
         expects_continue = b"100-continue" in expected and version == "1.1"
-        self.events.append(RequestHead(scope, self.keep_alive, expects_continue))
+        self.events.append(RequestHead(scope, self.keep_alive, expects_continue, held_bytes))
 
-    def check_framing(self, version: str, method: bytes) -> None:
+    def check_framing(self, version: str, method: bytes, is_upgrade: bool) -> None:
         """Reject a head whose framing two parsers could understand differently.
 
         :raises InvalidHttpMessage: the framing is ambiguous, or the version is not supported.
@@ -142,13 +177,20 @@
             or (version == "1.1" and not hosts)
             or not VALID_TARGET(self.target)
             # httptools would parse the body of an upgrade request as the next request
-            or (self.parser.should_upgrade() and (has_body or method == b"CONNECT"))
+            or (is_upgrade and (has_body or method == b"CONNECT"))
         ):
             raise InvalidHttpMessage(HTTPStatus.BAD_REQUEST)
 
     def on_body(self, data: bytes) -> None:
-        """Queue a part of the body (callback of httptools)."""
-        if not self.ended:
+        """Queue a part of the body, joined to the one before it (callback of httptools)."""
+        if self.ended:
+            return
+        last = self.events[-1] if self.events else None
+        if isinstance(last, bytearray):
+            last += data
+        elif isinstance(last, bytes):
+            self.events[-1] = bytearray(last) + data
+        else:
             self.events.append(data)
 
     def on_message_complete(self) -> None:
--- a/packages/runtime/meadowdock/runtime/http_server.py
+++ b/packages/runtime/meadowdock/runtime/http_server.py
@@ -11,7 +11,7 @@
 
 from meadowdock.runtime.address import Address
 from meadowdock.runtime.client_connections import ClientLimits
-from meadowdock.runtime.client_memory import HEADER_LINE_MEMORY_BYTES, ClientMemory
+from meadowdock.runtime.client_memory import ClientMemory
 from meadowdock.runtime.clock import monotonic_us
 from meadowdock.runtime.exceptions import ConnectionEnded, InvalidHttpMessage
 from meadowdock.runtime.http_connection import Exchange, Message, RequestStream
@@ -38,6 +38,7 @@
         self.requests = RequestStream(stream, lambda: server.closing, self.on_received)
         memory = server.limits.memory if server.limits else ClientMemory(None)
         self.memory = memory.open(self)
+        self.head_bytes = 0  # held by the head of the request that is being served
         self.request_size = 0  # bytes received of the request, or requests, in hand
         self.idle_scope: trio.CancelScope | None = None
         self.opened_at = monotonic_us()
@@ -46,11 +47,14 @@
     def on_received(self, size: int) -> None:
         """Enter received bytes into the account of the process; this connection may be closed."""
         self.request_size += size
-        lines = len(self.requests.reader.headers)
         self.memory.received(size, is_complete=False)
-        self.memory.resize(self.request_size + lines * HEADER_LINE_MEMORY_BYTES)
+        self.update_memory()
         self.memory.memory.relieve()
 
+    def update_memory(self) -> None:
+        """Enter what this connection holds into the account."""
+        self.memory.resize(self.head_bytes + self.request_size + self.requests.reader.held_bytes)
+
     def may_be_given_up(self) -> bool:
         """Return whether the rest of a request is waited for, or the next one."""
         return self.requests.is_receiving or self.requests.is_parsing
@@ -64,8 +68,8 @@
         return self.ended
 
     def may_be_closed(self) -> bool:
-        """Return whether a request, or the rest of one, is waited for."""
-        return self.requests.is_receiving
+        """Return whether a request, or the rest of one, is waited for, or the last one answered."""
+        return self.requests.is_receiving or self.requests.is_lingering
 
     def last_progress_at(self) -> int:
         """Return when the connection was opened, or the last request on it was complete."""
@@ -74,6 +78,7 @@
     def close_now(self) -> None:
         """Close the connection at once; a request that is incomplete has not run."""
         self.ended = True
+        self.requests.discard()
         self.memory.close()
         self.stream.socket.close()
 
@@ -93,16 +98,25 @@
     async def serve_request(self, client: tuple[str, int]) -> bool:
         """Serve one request, and return whether the connection stays open.
 
+        :raises InvalidHttpMessage, ConnectionEnded: there is no further request.
+        """
+        exchange = await self.run_app(client)
+        self.requests.completed_at = monotonic_us()
+        self.head_bytes = self.request_size = 0
+        self.update_memory()
+        return await exchange.finish()
+
+    async def run_app(self, client: tuple[str, int]) -> Exchange:
+        """Run the app for the next request, and return its exchange, which doesn't hold the head.
+
         :raises InvalidHttpMessage, ConnectionEnded: there is no further request.
         """
         head = await self.next_head()
+        self.head_bytes = head.held_bytes
         exchange = Exchange(self.requests, head)
         scope = {**head.scope, "client": client}
         await self.server.app(scope, exchange.receive, exchange.send)
-        self.requests.completed_at = monotonic_us()
-        self.request_size = 0
-        self.memory.resize(0)
-        return await exchange.finish()
+        return exchange
 
     async def next_head(self) -> RequestHead:
         """Wait for the head of the next request and return it.
@@ -138,7 +152,10 @@
         raise ConnectionEnded
 
     async def reject(self, status: int) -> None:
-        """Respond to an invalid message and close the connection."""
+        """Respond to an invalid message, of which nothing is held, and close the connection."""
+        self.requests.discard()
+        self.head_bytes = self.request_size = 0
+        self.update_memory()
         try:
             headers = [(b"content-length", b"0"), (b"connection", b"close")]
             await self.stream.send_all(response_head(status, headers))
