--- a/packages/runtime/meadowdock/runtime/http_request_reader.py
+++ b/packages/runtime/meadowdock/runtime/http_request_reader.py
@@ -57,6 +57,12 @@
     return 0
 
 
+def callback_status(error: httptools.HttpParserCallbackError) -> int:
+    """Return the status for an error that a callback has raised."""
+    cause = error.__context__ or error.__cause__
+    return cause.status if isinstance(cause, InvalidHttpMessage) else HTTPStatus.BAD_REQUEST
+
+
 class RequestReader(HeadParser):
     """Parses the requests of one connection.
 
@@ -104,21 +110,20 @@
                 unparsed = data[upgrade.args[0] :]
                 self.parser = httptools.HttpRequestParser(self)
             except httptools.HttpParserCallbackError as error:
-                cause = error.__context__ or error.__cause__
-                if not isinstance(cause, InvalidHttpMessage):
-                    cause = InvalidHttpMessage(HTTPStatus.BAD_REQUEST)
-                self.reject(cause)
+                self.reject(callback_status(error))
             except InvalidHttpMessage as error:
-                self.reject(error)
+                self.reject(error.status)
             except httptools.HttpParserError:
-                self.reject(InvalidHttpMessage(HTTPStatus.BAD_REQUEST))
+                self.reject(HTTPStatus.BAD_REQUEST)
             data = unparsed
 
-    def reject(self, error: InvalidHttpMessage) -> None:
-        """Queue an error as the last event."""
+    def reject(self, status: int) -> None:
+        """Queue an error as the last event.
+
+        It is a new one, as the traceback of one that was raised holds what was being parsed.
+        """
         if not self.ended:  # otherwise the invalid bytes follow the last request and are ignored
-            # a new one, as the traceback of the first holds the bytes that were being parsed
-            self.events.append(InvalidHttpMessage(error.status))
+            self.events.append(InvalidHttpMessage(status))
         self.ended = True
 
     def on_message_begin(self) -> None:
