A limit of address space no longer ends a process with a segmentation fault

Callers saw (FAULT) processes that end with status -11 or 1 and no event, where memory is limited as address space (RLIMIT_AS), with 44 to 202 MB in use.

Cause: the stacks and heaps that the C library reserves for threads took most of the space (mdconf: 197 to 271 of 300 MB at rest); the account of clients didn't know the limit; and once an allocation fails, httptools 0.9.0 drops a reference through a null pointer (gdb: cb_on_header_field). After status 1 there was no memory left to log the error.

--- a/packages/forwarding/meadowdock/forwarding/http.py
+++ b/packages/forwarding/meadowdock/forwarding/http.py
@@ -14,6 +14,7 @@
 import httptools
 
 from meadowdock.forwarding.exceptions import RequestRejected, ResponseTooLarge
+from meadowdock.runtime.address_space import has_headroom, require_headroom
 from meadowdock.runtime.client_memory import HEADER_LINE_MEMORY_BYTES
 
 if TYPE_CHECKING:
@@ -142,8 +143,14 @@
         return (lines if self.in_progress else 0) + self.unparsed_bytes + self.body.size
 
     def feed(self, data: bytes) -> None:
-        """Parse more bytes; `complete` and `error_status` have the result."""
+        """Parse more bytes; `complete` and `error_status` have the result.
+
+        They are refused with 503 if the address space is used up.
+        """
         self.has_advanced = False
+        if not has_headroom():
+            self.error_status = self.error_status or 503
+            return
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -303,7 +310,11 @@
         self.for_head_request = False  # a response to HEAD has no body, whatever its headers say
 
     def feed(self, data: bytes) -> None:
-        """Parse more bytes; `complete` and `malformed` have the result."""
+        """Parse more bytes; `complete` and `malformed` have the result.
+
+        :raises MemoryError: the address space is used up.
+        """
+        require_headroom()
         try:
             self.parser.feed_data(data)
         except PARSER_ERRORS:
--- a/packages/forwarding/meadowdock/forwarding/sockets.py
+++ b/packages/forwarding/meadowdock/forwarding/sockets.py
@@ -18,6 +18,7 @@
 
 from meadowdock.forwarding.byte_parts import LARGE_BYTES, Bytes
 from meadowdock.runtime import MILLISECOND, SECOND, Address, deadline_scope, monotonic_us, sleep_us
+from meadowdock.runtime.address_space import has_headroom
 
 if TYPE_CHECKING:
     from meadowdock.forwarding.reactor import Reactor
@@ -292,6 +293,9 @@
                 if error.errno in IGNORABLE_ACCEPT_ERRORS:
                     continue
                 return False
+            if not has_headroom():
+                sock.close()
+                continue
             try:
                 connection = self.adopt(sock, peer[0])
             except OSError:  # the connection was reset before it was accepted
--- a/packages/process/meadowdock/process/failure.py
+++ b/packages/process/meadowdock/process/failure.py
@@ -6,6 +6,7 @@
 import traceback
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import Any
 
 from meadowdock.logs import Log
 from meadowdock.logs import events as log_events
@@ -41,13 +42,20 @@
 
     def log(self, log: Log) -> None:
         """Write the event."""
-        log(
-            log_events.PROCESS_FAILED,
-            status=EXIT_FAILED,
-            cause="; ".join(self.causes),
-            where=self.where,
-            frames=self.frames,
-        )
+        log(log_events.PROCESS_FAILED, **self.fields())
+
+    def encoded(self, log: Log) -> bytes:
+        """Return the event as a line of a log."""
+        return log.encode(log_events.PROCESS_FAILED, **self.fields()).encode()
+
+    def fields(self) -> dict[str, Any]:
+        """Return the fields of the event."""
+        return {
+            "status": EXIT_FAILED,
+            "cause": "; ".join(self.causes),
+            "where": self.where,
+            "frames": self.frames,
+        }
 
 
 def leaf_exceptions(error: BaseException) -> Iterator[BaseException]:
--- a/packages/process/meadowdock/process/runner.py
+++ b/packages/process/meadowdock/process/runner.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import faulthandler
 import gc
 import linecache
+import os
 import signal
 import sys
 from collections.abc import Callable
@@ -18,6 +20,9 @@
 from meadowdock.process.node import Node
 from meadowdock.process.run_record import RunRecord
 from meadowdock.runtime import Disk, Net, NoDisk, Runtime
+from meadowdock.runtime.address_space import reserve_less_for_threads, usable_bytes
+from meadowdock.runtime.client_memory import MEGABYTE
+from meadowdock.runtime.disk import MAX_THREADS
 from meadowdock.settings import ProcessSettings
 
 # While a thread validates or assembles a large configuration, the event loop waits no longer than
@@ -25,6 +30,11 @@
 THREAD_SWITCH_INTERVAL_S = 0.0005
 
 
+# Freed when an error ends the process, so that the error can be logged if memory is used up.
+LOGGING_RESERVE_BYTES = 1 << 20
+STDERR = 2
+
+
 async def watch_signals(node: Node, earlier: EarlySignals | None = None) -> None:
     """Forward SIGTERM and SIGINT to the node's shutdown, and ignore a SIGTERM after its end.
 
@@ -80,6 +90,26 @@
     return settings if limit == resource.RLIM_INFINITY else replace(settings, descriptors=limit)
 
 
+def with_memory_limit(settings: ProcessSettings) -> ProcessSettings:
+    """Return the settings with the memory that a limit of address space leaves, if that is less."""
+    usable = usable_bytes(MAX_THREADS)
+    if usable is None:
+        return settings
+    usable_mb = max(1, usable // MEGABYTE)
+    return replace(settings, memory_mb=min(settings.memory_mb or usable_mb, usable_mb))
+
+
+def log_failure(error: Exception, log: Log, last_words: bytes) -> None:
+    """Log the error that ends the process.
+
+    :param last_words: the event that is written if there is no memory for that.
+    """
+    try:
+        ProcessFailure.from_exception(error).log(log)
+    except MemoryError:
+        os.write(STDERR, last_words)
+
+
 def start(make_daemon: Callable[[Node], Daemon]) -> Callable[[ProcessSettings], None]:
     """Return a function that runs a daemon with its settings and returns once it has ended.
 
@@ -87,11 +117,16 @@
     """
 
     def run(settings: ProcessSettings) -> None:
-        settings = with_descriptor_limit(settings)
+        reserve_less_for_threads()
+        settings = with_memory_limit(with_descriptor_limit(settings))
         earlier = EarlySignals()
         earlier.watch()
         # other modules print there, too; it must not end the process or hold it up
         sys.stderr = standard_error()
+        faulthandler.enable(STDERR, all_threads=False)  # a crash in a library says where it was
+        log = Log(settings.node_name)
+        last_words = ProcessFailure((repr(MemoryError()),), "", ()).encoded(log)
+        reserve = [bytes(LOGGING_RESERVE_BYTES)]
         sys.setswitchinterval(THREAD_SWITCH_INTERVAL_S)
         linecache.clearcache()  # drops the source of all methods that attrs has generated
         gc.collect()
@@ -99,7 +134,8 @@
         try:
             trio.run(run_daemon, settings, make_daemon, earlier)
         except Exception as error:
-            ProcessFailure.from_exception(error).log(Log(settings.node_name))
+            reserve.clear()
+            log_failure(error, log, last_words)
             sys.exit(EXIT_FAILED)
 
     return run
--- a/packages/runtime/meadowdock/runtime/http_request_reader.py
+++ b/packages/runtime/meadowdock/runtime/http_request_reader.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from meadowdock.runtime.address_space import has_headroom
 from meadowdock.runtime.client_memory import HEADER_LINE_MEMORY_BYTES
 from meadowdock.runtime.exceptions import InvalidHttpMessage
 from meadowdock.runtime.http_messages import (
@@ -99,7 +100,9 @@
         self.parser = None
 
     def feed(self, data: bytes) -> None:
-        """Parse bytes into events."""
+        """Parse bytes into events; they are refused with 503 if the address space is used up."""
+        if not has_headroom():
+            self.reject(HTTPStatus.SERVICE_UNAVAILABLE)
         while data and not self.ended and self.parser is not None:
             was_in_head, unparsed = self.in_head, b""
             try:
--- a/packages/runtime/meadowdock/runtime/http_response_reader.py
+++ b/packages/runtime/meadowdock/runtime/http_response_reader.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from meadowdock.runtime.address_space import require_headroom
 from meadowdock.runtime.exceptions import InvalidHttpMessage
 from meadowdock.runtime.http_messages import (
     HeadParser,
@@ -46,7 +47,9 @@
 
         :raises InvalidHttpMessage, httptools.HttpParserError, httptools.HttpParserUpgrade: the
             response is invalid.
+        :raises MemoryError: the address space is used up.
         """
+        require_headroom()
         was_in_head = self.in_head
         try:
             self.parser.feed_data(data)
--- a/packages/runtime/meadowdock/runtime/http_server.py
+++ b/packages/runtime/meadowdock/runtime/http_server.py
@@ -10,6 +10,7 @@
 import trio
 
 from meadowdock.runtime.address import Address
+from meadowdock.runtime.address_space import has_headroom
 from meadowdock.runtime.client_connections import ClientLimits
 from meadowdock.runtime.client_memory import ClientMemory
 from meadowdock.runtime.clock import monotonic_us
@@ -176,10 +177,13 @@
         self.connections: set[ServerConnection] = set()
 
     async def accept(self, stream: trio.SocketStream) -> None:
-        """Serve one accepted connection until it ends.
+        """Serve one accepted connection until it ends; close it if the address space is used up.
 
         An unexpected error ends this connection alone, if the app has a method to report it.
         """
+        if not has_headroom():
+            stream.socket.close()
+            return
         connection = ServerConnection(self, stream)
         if self.limits and not self.limits.connections.admit(connection):
             connection.close_now()
--- /dev/null
+++ b/tests/process/test_limits_of_memory.py
@@ -0,0 +1,49 @@
+"""A process at its limit of memory says so, and doesn't run what would crash."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+
+from meadowdock.logs import Log
+from meadowdock.process import runner
+from meadowdock.process.failure import ProcessFailure
+
+LIMIT_MB = 200
+USE_UP_THE_ADDRESS_SPACE = f"""
+import resource
+resource.setrlimit(resource.RLIMIT_AS, ({LIMIT_MB} << 20, {LIMIT_MB} << 20))
+from meadowdock.runtime import address_space
+from meadowdock.runtime.http_request_reader import RequestReader
+assert address_space.has_headroom()
+assert 0 < address_space.usable_bytes(8) < address_space.LIMIT_BYTES
+held = []
+try:
+    while True:
+        held.append(bytearray(1 << 20))
+except MemoryError:
+    pass
+reader = RequestReader()
+reader.feed(b"GET / HTTP/1.1\\r\\n" + b"a: b\\r\\n" * 1000)
+print(reader.events[0].status)
+"""
+
+
+def test_parser_that_crashes_once_the_address_space_is_used_up():
+    done = subprocess.run(
+        [sys.executable, "-c", USE_UP_THE_ADDRESS_SPACE], capture_output=True, text=True
+    )
+    assert (done.returncode, done.stdout.strip()) == (0, "503"), done.stderr
+
+
+def test_process_that_ends_without_a_word_as_there_is_no_memory_to_log(monkeypatch, capfd):
+    def fail(error):
+        raise MemoryError
+
+    log = Log("mdconf@x")
+    last_words = ProcessFailure((repr(MemoryError()),), "", ()).encoded(log)
+    monkeypatch.setattr(ProcessFailure, "from_exception", fail)
+    runner.log_failure(MemoryError(), log, last_words)
+    event = json.loads(capfd.readouterr().err)
+    assert (event["event"], event["cause"]) == ("process_failed", "MemoryError()")
