Connections and frames at internal ports are bounded; what proves nothing has a share

Callers saw (FAULT) a machine whose internal ports are reached by a crowd use all of its 4,100 descriptors, so that no request, heartbeat or readiness check was answered; unfinished frames took a process to 598 MB of 300.

Cause: the listeners of rpc and of the links between gateways had no bound on connections, a link that never greets no time-out, a frame of a handshake might have 32 MiB, and no frame was in the account of the process.

Change: connections that haven't proved the fleet key have a sixteenth of the descriptors and frames of 4 KiB; authenticated ones three sixteenths (where no callers are served, their half, too), beyond which the one that rests longest is closed; a link greets within 5 s; incomplete frames are in the account.

--- a/packages/forwarding/meadowdock/forwarding/gateway.py
+++ b/packages/forwarding/meadowdock/forwarding/gateway.py
@@ -25,6 +25,7 @@
 from meadowdock.runtime import MILLISECOND, monotonic_us
 from meadowdock.runtime.client_connections import ClientConnections
 from meadowdock.runtime.client_memory import ClientMemory
+from meadowdock.runtime.peer_connections import CALLER_DESCRIPTOR_SHARE, PeerLimits
 
 if TYPE_CHECKING:
     from meadowdock.configuration.items import ItemRoute, ItemTable, Limits
@@ -41,7 +42,6 @@
     from meadowdock.settings import ProcessSettings
 
 NO_CONFIGURATION_RETRY_US = 200 * MILLISECOND
-CALLER_DESCRIPTOR_SHARE = 1 / 2  # of the process's descriptors, for connections of callers
 DEFAULT_CALLER_NAME = "guest"  # of the calling service if the settings don't name it
 # Addresses begin with a digit, so a random digit is a random starting point for round-robin.
 ADDRESS_FIRST_CHARACTERS = "0123456789"
@@ -65,6 +65,7 @@
         log: Logger,
         retry_budgets: RetryBudgets,
         memory: ClientMemory | None = None,
+        peer_limits: PeerLimits | None = None,
     ) -> None:
         self.network, self.reactor, self.dialect = network, reactor, dialect
         self.call_id_name = dialect.call_id.lower()
@@ -81,7 +82,8 @@
             network, reactor, registry, dialect, self.placement, self.retries, log
         )
         self.memory = memory or ClientMemory(settings.memory_mb, log)
-        self.peers = Peers(self.dispatcher, network, settings, rng, log, self.memory)
+        peer_limits = peer_limits or PeerLimits(settings.descriptors, self.memory)
+        self.peers = Peers(self.dispatcher, network, settings, rng, log, self.memory, peer_limits)
         self.dispatcher.peer_calls.peers = self.peers
         self.counts = self.dispatcher.counts
         self.admission = self.dispatcher.admission
--- a/packages/forwarding/meadowdock/forwarding/peer_frames.py
+++ b/packages/forwarding/meadowdock/forwarding/peer_frames.py
@@ -47,10 +47,12 @@
 
     Invariant: between two calls of feed(), partial holds at most one incomplete frame, and wanted is
     the size from which on more of it can be read.
+
+    :ivar max_size: maximum size of a frame's body in bytes.
     """
 
-    def __init__(self, authenticator: FrameAuthenticator) -> None:
-        self.authenticator = authenticator
+    def __init__(self, authenticator: FrameAuthenticator, max_size: int = MAX_FRAME_SIZE) -> None:
+        self.authenticator, self.max_size = authenticator, max_size
         self.partial = bytearray()
         self.wanted = LENGTH_SIZE
 
@@ -71,8 +73,8 @@
         self.wanted = LENGTH_SIZE
         while size - start >= LENGTH_SIZE:
             length = int.from_bytes(data[start : start + LENGTH_SIZE], "big")
-            if length > MAX_FRAME_SIZE:
-                raise PeerProtocolError(f"frame of {length} bytes, {MAX_FRAME_SIZE} at most")
+            if length > self.max_size:
+                raise PeerProtocolError(f"frame of {length} bytes, {self.max_size} at most")
             end = start + LENGTH_SIZE + TAG_SIZE + length
             if end > size:
                 self.wanted = end - start
--- a/packages/forwarding/meadowdock/forwarding/peer_link.py
+++ b/packages/forwarding/meadowdock/forwarding/peer_link.py
@@ -34,14 +34,20 @@
     frame_sent_at,
 )
 from meadowdock.logs import events as log_events
-from meadowdock.rpc.frame import FrameAuthenticator, derive_key
+from meadowdock.rpc.frame import (
+    HANDSHAKE_MAX_FRAME_SIZE,
+    MAX_FRAME_SIZE,
+    FrameAuthenticator,
+    derive_key,
+)
 from meadowdock.rpc.queueing_delay import QueueingDelayEstimator
-from meadowdock.runtime import MILLISECOND, monotonic_us
+from meadowdock.runtime import MILLISECOND, SECOND, monotonic_us
 from meadowdock.runtime.slab import Handle, Slab
 
 if TYPE_CHECKING:
     from meadowdock.forwarding.interfaces import Connection
     from meadowdock.forwarding.peers import Peers
+    from meadowdock.runtime.peer_connections import PeerConnection
 
 # Handshake frames need no secret key: the proofs of the fleet key are inside them.
 HANDSHAKE_KEY = b"\x00" * 32
@@ -52,6 +58,7 @@
 # A link with pending calls is closed if nothing was received on it for this long.
 SILENCE_TIMEOUT_US = 600 * MILLISECOND
 NONCE_BYTES = 16
+HELLO_TIMEOUT_US = 5 * SECOND  # since the accept, after which a link that isn't ready is closed
 
 
 class Link:
@@ -75,7 +82,7 @@
         outgoing, incoming = self.handshake_directions
         self.sealer, self.frame_reader = (
             FrameAuthenticator(HANDSHAKE_KEY, outgoing),
-            FrameReader(FrameAuthenticator(HANDSHAKE_KEY, incoming)),
+            FrameReader(FrameAuthenticator(HANDSHAKE_KEY, incoming), HANDSHAKE_MAX_FRAME_SIZE),
         )
 
     def send(self, frame: Frame) -> None:
@@ -134,6 +141,7 @@
             FrameAuthenticator(key, outgoing),
             FrameAuthenticator(key, incoming),
         )
+        self.frame_reader.max_size = MAX_FRAME_SIZE
         self.ready = True
 
     def on_handshake_frame(self, frame: Frame) -> None:
@@ -303,6 +311,8 @@
     """A link that a peer has opened, on which it sends calls to this node.
 
     Invariant: running maps the peer's handle of a call to the call.
+
+    :ivar entry: the link in the bounds and the account of the process, None if there is no room.
     """
 
     handshake_directions = (b"greeting-in", b"greeting-out")
@@ -315,6 +325,25 @@
         self.queueing_delay = QueueingDelayEstimator()
         self.transcript: tuple[bytes, ...] | None = None  # nonces and names of both sides
         self.hello_answered_at = 0  # when this node sent its proof
+        self.accepted_at = monotonic_us()
+        self.entry: PeerConnection | None = peers.limits.accept(
+            self.close_for_others, lambda: bool(self.running)
+        )
+
+    def close_for_others(self) -> None:
+        """Close the link, as its place or its memory is needed."""
+        self.close("closed for others")
+
+    def check_handshake(self, now: int) -> None:
+        """Close the link if the handshake has not completed in time."""
+        if not self.ready and now - self.accepted_at > HELLO_TIMEOUT_US:
+            self.close("no handshake in time")
+
+    def on_data(self, data: bytes) -> None:
+        """Handle bytes from the peer, and enter those of an incomplete frame into the account."""
+        super().on_data(data)
+        if self.entry is not None:
+            self.entry.received(len(data), len(self.frame_reader.partial))
 
     def on_handshake_frame(self, frame: Frame) -> None:
         """Handle the opener's HELLO, or the proof that follows it."""
@@ -334,6 +363,8 @@
         if len(frame) > 2:  # the previous version sent no time here
             # with this sample the delay can be measured from the first call on
             self.queueing_delay.measure(frame[2], now)
+        if self.entry is None or not self.entry.authenticated():
+            raise PeerProtocolError("no room for the link of another peer")
         self.complete_handshake(self.transcript)
         self.send([READS_TARGET])
 
@@ -392,6 +423,8 @@
     def on_end(self, cause: object) -> None:
         """Cancel the calls of the link, as their outcomes can't be delivered any more."""
         self.peers.incoming.discard(self)
+        if self.entry is not None:
+            self.entry.end()
         running, self.running = self.running, {}
         for call in running.values():
             self.release_body(call)
--- a/packages/forwarding/meadowdock/forwarding/peers.py
+++ b/packages/forwarding/meadowdock/forwarding/peers.py
@@ -13,6 +13,7 @@
     from meadowdock.forwarding.dispatcher import Dispatcher
     from meadowdock.forwarding.interfaces import Connection, Logger, Network, RandomSource
     from meadowdock.runtime.client_memory import ClientMemory
+    from meadowdock.runtime.peer_connections import PeerLimits
     from meadowdock.settings import ProcessSettings
 
 RECONNECT_BACKOFF_US = 500 * MILLISECOND  # after a link has ended or could not be opened
@@ -39,8 +40,9 @@
         rng: RandomSource,
         log: Logger,
         memory: ClientMemory,
+        limits: PeerLimits,
     ) -> None:
-        self.memory = memory
+        self.memory, self.limits = memory, limits
         self.dispatcher, self.calls = dispatcher, dispatcher.peer_calls
         self.network, self.reactor = network, dispatcher.reactor
         self.key, self.name = derive_key(settings.fleet_key, b"gate"), settings.node_name
@@ -65,8 +67,12 @@
         return self.node_address(link_address) in self.dispatcher.loads.addresses()
 
     def accept(self, connection: Connection) -> None:
-        """Accept the connection of a peer."""
-        self.incoming.add(IncomingLink(self, connection))
+        """Accept the connection of a peer, or close it if there is no room for it."""
+        link = IncomingLink(self, connection)
+        if link.entry is None:
+            connection.close()
+        else:
+            self.incoming.add(link)
 
     def link(self, address: str) -> OutgoingLink | None:
         """Return the link to an address, opening it if needed; None if it can't take a call now."""
@@ -97,6 +103,9 @@
         for link in list(self.outgoing.values()):
             link.received_at += paused_us
             link.check_silence(now)
+        for incoming in list(self.incoming):
+            incoming.accepted_at += paused_us
+            incoming.check_handshake(now)
         for address, backoff_end in list(self.backoff_until.items()):
             if now > backoff_end and address not in self.outgoing:
                 if self.is_listed(address):
--- a/packages/process/meadowdock/process/node.py
+++ b/packages/process/meadowdock/process/node.py
@@ -28,6 +28,7 @@
 from meadowdock.runtime import Runtime
 from meadowdock.runtime.client_connections import ClientConnections, ClientLimits
 from meadowdock.runtime.client_memory import ClientMemory
+from meadowdock.runtime.peer_connections import PeerLimits
 from meadowdock.settings import ProcessSettings
 
 HTTP_DESCRIPTOR_SHARE = 1 / 8  # of the process's descriptors, for connections at its HTTP listeners
@@ -67,6 +68,9 @@
         self.membership = GossipMembership(entry, settings.seeds, runtime.rng, self.rpc, self.log)
         self.first_start = FirstStartWitness(settings, self.membership)
         self.client_memory = ClientMemory(settings.memory_mb, self.log)
+        self.peer_limits = PeerLimits(
+            settings.descriptors, self.client_memory, has_callers=bool(settings.gate_address)
+        )
         self.addresses = AddressQueue(self.log)
         self.stopping = False
         self.shutdown = GracefulShutdown(self)
@@ -154,6 +158,7 @@
             name=settings.node_name,
             handlers=handlers,
             log=self.log,
+            limits=self.peer_limits,
         )
         address = settings.rpc_address
         serve_guarded = partial(run_guarded, self.log, serve)
--- a/packages/proxy/meadowdock/proxy/gateway.py
+++ b/packages/proxy/meadowdock/proxy/gateway.py
@@ -68,6 +68,7 @@
             node.log,
             self,
             node.client_memory,
+            node.peer_limits,
         )
         self.endpoints.heartbeat_timeout_us = (
             MAX_MISSED_HEARTBEATS * settings.heartbeat_us + settings.heartbeat_us // 3
--- a/packages/rpc/meadowdock/rpc/frame.py
+++ b/packages/rpc/meadowdock/rpc/frame.py
@@ -12,6 +12,7 @@
 
 import hashlib
 import hmac
+from collections.abc import Callable
 
 import trio
 
@@ -20,6 +21,7 @@
 LENGTH_SIZE = 4  # bytes
 TAG_SIZE = 16  # bytes
 MAX_FRAME_SIZE = 32 << 20  # bytes of a body
+HANDSHAKE_MAX_FRAME_SIZE = 4096  # bytes of a body, before the other side has proved anything
 RECEIVE_SIZE = 65_536  # maximum of bytes received from the stream by one call
 COUNTER_SIZE = 8  # bytes of the frame counter, which is covered by the tag
 
@@ -64,11 +66,16 @@
 
     Invariant: after `next_frame` has returned, the buffer contains frames that were not requested
     yet and at most one partial frame.
+
+    :ivar max_size: maximum size of a frame's body in bytes.
+    :ivar on_partial: called with the number of bytes received for a frame that is incomplete, and
+        of those that are held of it; and with zeros once it is complete.
     """
 
-    def __init__(self, stream: trio.abc.ReceiveStream) -> None:
-        self.stream = stream
+    def __init__(self, stream: trio.abc.ReceiveStream, max_size: int = MAX_FRAME_SIZE) -> None:
+        self.stream, self.max_size = stream, max_size
         self.buffer = bytearray()
+        self.on_partial: Callable[[int, int], None] | None = None
 
     async def fill(self, size: int) -> None:
         """Receive until the buffer has at least `size` bytes.
@@ -80,19 +87,24 @@
             if not chunk:
                 raise EOFError("connection closed by peer")
             self.buffer += chunk
+            if self.on_partial is not None and len(self.buffer) < size:
+                self.on_partial(len(chunk), len(self.buffer))
 
     async def next_frame(self) -> bytes:
         """Return tag and body of the next frame, which is not authenticated yet.
 
-        :raises ProtocolError: the frame is longer than MAX_FRAME_SIZE.
+        :raises ProtocolError: the frame is longer than the maximum.
         :raises EOFError: the peer closed the stream.
         """
         await self.fill(LENGTH_SIZE)
         size = int.from_bytes(self.buffer[:LENGTH_SIZE], "big")
-        if size > MAX_FRAME_SIZE:
-            raise ProtocolError(f"frame of {size} bytes is longer than {MAX_FRAME_SIZE}")
+        if size > self.max_size:
+            raise ProtocolError(f"frame of {size} bytes is longer than {self.max_size}")
         end = LENGTH_SIZE + TAG_SIZE + size
+        is_partial = len(self.buffer) < end
         await self.fill(end)
+        if is_partial and self.on_partial is not None:
+            self.on_partial(0, 0)
         sealed = bytes(self.buffer[LENGTH_SIZE:end])
         del self.buffer[:end]
         return sealed
--- a/packages/rpc/meadowdock/rpc/handshake.py
+++ b/packages/rpc/meadowdock/rpc/handshake.py
@@ -19,6 +19,8 @@
 
 from meadowdock.rpc.exceptions import AuthenticationFailed, ProtocolError
 from meadowdock.rpc.frame import (
+    HANDSHAKE_MAX_FRAME_SIZE,
+    MAX_FRAME_SIZE,
     FrameAuthenticator,
     FrameReader,
     derive_key,
@@ -96,7 +98,7 @@
         stream.
     """
     client_nonce = rng.randbytes(NONCE_SIZE)
-    reader = FrameReader(stream)
+    reader = FrameReader(stream, HANDSHAKE_MAX_FRAME_SIZE)
     outgoing = FrameAuthenticator(NO_KEY, CLIENT_HANDSHAKE)
     incoming = FrameAuthenticator(NO_KEY, SERVER_HANDSHAKE)
     greeting = [PROTOCOL, client_nonce, local_peer.name, local_peer.address]
@@ -107,6 +109,7 @@
         raise AuthenticationFailed("the server doesn't know the fleet key")
     await write_frame(stream, outgoing, pack(transcript.derive(fleet_key, CLIENT_PROOF)))
     session_key = transcript.derive(fleet_key, SESSION_KEY)
+    reader.max_size = MAX_FRAME_SIZE
     return Session(
         reader,
         outgoing=FrameAuthenticator(session_key, CLIENT_SESSION),
@@ -125,7 +128,7 @@
     :raises ValueError, EOFError, OSError: the client sent a malformed message, or closed the
         stream.
     """
-    reader = FrameReader(stream)
+    reader = FrameReader(stream, HANDSHAKE_MAX_FRAME_SIZE)
     outgoing = FrameAuthenticator(NO_KEY, SERVER_HANDSHAKE)
     incoming = FrameAuthenticator(NO_KEY, CLIENT_HANDSHAKE)
     protocol, client_nonce, client_name, address = unpack(await read_frame(reader, incoming))
@@ -139,6 +142,7 @@
     if not hmac.compare_digest(client_proof, transcript.derive(fleet_key, CLIENT_PROOF)):
         raise AuthenticationFailed("the client doesn't know the fleet key")
     session_key = transcript.derive(fleet_key, SESSION_KEY)
+    reader.max_size = MAX_FRAME_SIZE
     return Session(
         reader,
         outgoing=FrameAuthenticator(session_key, SERVER_SESSION),
--- a/packages/rpc/meadowdock/rpc/server.py
+++ b/packages/rpc/meadowdock/rpc/server.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 
 import ormsgpack
 import trio
@@ -23,6 +24,8 @@
 )
 from meadowdock.rpc.queueing_delay import QueueingDelayEstimator
 from meadowdock.runtime import SECOND, deadline_scope, monotonic_us
+from meadowdock.runtime.client_memory import ClientMemory
+from meadowdock.runtime.peer_connections import PeerConnection, PeerLimits
 
 HANDSHAKE_TIMEOUT = SECOND  # us
 MAX_QUEUED_RESPONSES = 1024
@@ -35,12 +38,44 @@
     name: str,
     handlers: Handlers,
     log: Callable[..., object],
+    limits: PeerLimits | None = None,
 ) -> None:
     """Serve an accepted connection until it ends, which cancels its running handlers.
 
     :param key: the fleet key.
     :param name: the name of this process, which is sent to the peer.
+    :param limits: what the connections of the process may take; None for no limit.
     """
+    running_calls: dict[CallId, trio.CancelScope] = {}
+    limits = limits or PeerLimits(None, ClientMemory(None))
+    entry = limits.accept(partial(close_stream, stream), lambda: bool(running_calls))
+    if entry is None:
+        close_stream(stream)
+        return
+    try:
+        await serve_accepted(stream, key, rng, name, handlers, log, entry, running_calls)
+    finally:
+        entry.end()
+
+
+def close_stream(stream: trio.abc.Stream) -> None:
+    """Close a stream at once, if it has a socket; simulated streams have no bounds."""
+    sock = getattr(stream, "socket", None)
+    if sock is not None:
+        sock.close()
+
+
+async def serve_accepted(
+    stream: trio.abc.Stream,
+    key: bytes,
+    rng: random.Random,
+    name: str,
+    handlers: Handlers,
+    log: Callable[..., object],
+    entry: PeerConnection,
+    running_calls: dict[CallId, trio.CancelScope],
+) -> None:
+    """Serve a connection for which there is room; parameters are those of `serve_connection`."""
     async with stream:
         try:
             with trio.fail_after(HANDSHAKE_TIMEOUT / SECOND):
@@ -56,7 +91,10 @@
             if not isinstance(cause, (EOFError, trio.BrokenResourceError)):
                 log(log_events.CONNECTION_REJECTED, cause=repr(cause))
             return
-        await ServerConnection(stream, session, handlers, log).run()
+        if not entry.authenticated():
+            return
+        session.reader.on_partial = entry.received
+        await ServerConnection(stream, session, handlers, log, entry, running_calls).run()
 
 
 class ServerConnection:
@@ -71,12 +109,14 @@
         session: Session,
         handlers: Handlers,
         log: Callable[..., object],
+        entry: PeerConnection,
+        running_calls: dict[CallId, trio.CancelScope],
     ) -> None:
         self.session, self.handlers, self.log = session, handlers, log
         self.stream = stream
         self.writer = FrameWriter(session.outgoing, MAX_QUEUED_RESPONSES)
         self.writer.attach(stream)
-        self.running_calls: dict[CallId, trio.CancelScope] = {}
+        self.entry, self.running_calls = entry, running_calls
         self.queueing_delay = QueueingDelayEstimator()
 
     async def run(self) -> None:
@@ -120,7 +160,7 @@
 
         It is cancelled from the start if the request arrived after the client's deadline.
         """
-        received_at_us = monotonic_us()
+        received_at_us = self.entry.received_at = monotonic_us()
         delay_us = self.queueing_delay.measure(request.sent_at_us, received_at_us)
         time_left_us = request.time_left_us - delay_us
         scope = deadline_scope(received_at_us + time_left_us)
--- a/tests/rpc/test_connections.py
+++ b/tests/rpc/test_connections.py
@@ -6,6 +6,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from meadowdock.rpc import (
     ConnectionFailed,
@@ -149,3 +150,21 @@
         assert [args[1] for args in executed] == ["a"]
 
     run(scenario)
+
+
+def test_frame_of_the_handshake_that_a_server_would_wait_for_whole():
+    """What has proved nothing may not fill the buffer of a connection."""
+
+    async def main():
+        client, server = trio.testing.memory_stream_pair()
+        await client.send_all((1 << 20).to_bytes(4, "big"))
+        events = []
+
+        def log(number, **fields):
+            events.append(fields["cause"])
+
+        await serve_connection(server, KEY, random.Random(1), "server", Handlers(), log)
+        assert len(events) == 1
+        assert "1048576 bytes" in events[0]
+
+    trio.run(main)
