Connections that are costly to parse take turns at a gateway

Callers saw: while a crowd sends bodies in chunks of two bytes, or hundreds of requests behind each other, no ordinary request of that proxy is answered.

Cause: each connection parsed up to 16 KiB in a round of the event loop, which takes 2 to 20 ms for such bytes, and an ordinary request waits for a round at each of its steps.

Change: the parser counts lines, parts and requests of a read; a connection with more than 200 reads 4 KiB at a time, one such connection in a round. The first read of a connection has 4 KiB as well, since nothing is known of it.

--- a/packages/forwarding/meadowdock/forwarding/downstream.py
+++ b/packages/forwarding/meadowdock/forwarding/downstream.py
@@ -14,6 +14,7 @@
 from meadowdock.forwarding.outcome_codes import NO_ANSWER
 from meadowdock.runtime import SECOND, monotonic_us
 from meadowdock.runtime.client_memory import SMALL_BYTES
+from meadowdock.runtime.http_messages import COSTLY_STEPS
 
 if TYPE_CHECKING:
     from meadowdock.forwarding.gateway import Gateway
@@ -66,6 +67,7 @@
         self.gateway, self.connection = gateway, connection
         connection.owner = self
         self.memory = gateway.memory.open(self)
+        self.is_costly = False  # what was read last was costly to parse
         self.requests = RequestParser(gateway.limits, gateway.dialect.header_names, self.memory)
         self.pending: deque[PendingAnswer] = deque()
         self.pending_bytes = 0
@@ -81,6 +83,7 @@
             return
         requests = self.requests
         requests.feed(data)
+        self.is_costly = requests.step_count > COSTLY_STEPS
         has_completed = bool(requests.complete)
         if has_completed:
             self.partial_request_since = 0  # the next request has only begun to arrive now
--- a/packages/forwarding/meadowdock/forwarding/http.py
+++ b/packages/forwarding/meadowdock/forwarding/http.py
@@ -16,6 +16,7 @@
 from meadowdock.forwarding.exceptions import RequestRejected, ResponseTooLarge
 from meadowdock.runtime.address_space import has_headroom, require_headroom
 from meadowdock.runtime.client_memory import HEADER_LINE_MEMORY_BYTES
+from meadowdock.runtime.http_messages import REQUEST_STEPS
 
 if TYPE_CHECKING:
     from meadowdock.configuration.items import Limits
@@ -112,7 +113,8 @@
     Invariants: complete holds complete requests, in order; error_status is 0, or the status with
     which the connection ends, and then nothing more is fed; stalled_bytes were fed since the last
     feed that completed anything (a line, a part of a body or of a target); unparsed_bytes is an
-    upper bound of what the parser keeps of an incomplete line.
+    upper bound of what the parser keeps of an incomplete line; step_count is how many lines, parts
+    and requests the last feed held, a request counting for REQUEST_STEPS.
 
     :param mesh_header_names: the dialect's headers in lower case, which go to `mesh_headers` of a request
     :param memory: admits bodies, by default all
@@ -131,6 +133,7 @@
         self.in_progress = False  # a request has begun to arrive and is not complete
         self.in_head = False
         self.head_size = self.trailer_size = self.stalled_bytes = self.unparsed_bytes = 0
+        self.step_count = 0
         self.has_advanced = False  # the bytes that are being fed complete something
         self.wants_continue = False
         self.lines: list[HeaderLine] = []
@@ -148,6 +151,7 @@
         They are refused with 503 if the address space is used up.
         """
         self.has_advanced = False
+        self.step_count = 0
         if not has_headroom():
             self.error_status = self.error_status or 503
             return
@@ -190,6 +194,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header line; trailers are counted, but ignored."""
         self.has_advanced = True
+        self.step_count += 1
         size = len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES
         if not self.in_head:
             self.trailer_size += size
@@ -231,6 +236,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self.has_advanced = True
+        self.step_count += 1
         self.body.append(body)
         if self.body.size > self.limits.body_bytes:
             raise self.reject(413)
@@ -255,6 +261,7 @@
         """Add the complete request to `complete`."""
         self.in_progress = False
         self.has_advanced = True
+        self.step_count += REQUEST_STEPS
         body, self.body = self.body.take(), BodyBuffer()
         parser = self.parser
         method = parser.get_method()
--- a/packages/forwarding/meadowdock/forwarding/sockets.py
+++ b/packages/forwarding/meadowdock/forwarding/sockets.py
@@ -24,6 +24,7 @@
     from meadowdock.forwarding.reactor import Reactor
 
 READ_SIZE = 16_384  # bytes; a larger buffer would be allocated by the system at each read
+SHORT_READ_SIZE = 4_096  # bytes; of what is costly to parse, or may be
 LINGER_US = 2 * SECOND  # between the end of output and the close, for the other side to read it
 LISTEN_BACKLOG = 1024  # connections that the kernel keeps until they are accepted
 ACCEPT_PAUSE_US = 20 * MILLISECOND  # after an error of accept, such as running out of descriptors
@@ -48,6 +49,8 @@
 
     Invariants: unsent holds the bytes that the kernel has not accepted yet, in order, and
     unsent_size is their number; on_end is called at most once, and never after close().
+
+    :ivar read_size: bytes of the next read.
     """
 
     __slots__ = (
@@ -62,6 +65,7 @@
         "read_paused",
         "peer",
         "blocked_since",
+        "read_size",
     )
 
     def __init__(self, sock: socket.socket, network: SocketNetwork, peer: str = "") -> None:
@@ -73,6 +77,7 @@
         self.read_paused: trio.Event | None = None  # set when reading continues
         # when the kernel last accepted or first refused bytes; 0 if none are unsent
         self.blocked_since = 0
+        self.read_size = SHORT_READ_SIZE
 
     def send(self, data: Bytes) -> None:
         """Send what the kernel accepts now, and the rest as soon as it does; the data isn't copied."""
@@ -191,25 +196,35 @@
         :raises OSError: the connection broke
         :raises trio.ClosedResourceError: the connection was closed here meanwhile
         """
-        sock, reactor = self.sock, self.network.reactor
-        while True:
-            await wait_readable(sock)
+        is_open = True
+        while is_open:
+            await wait_readable(self.sock)
             if self.read_paused is not None:
                 await self.read_paused.wait()
                 if self.closed:
                     return
-            try:
-                data = sock.recv(READ_SIZE)
-            except BlockingIOError:
-                continue
-            if not data:
-                return
-            if self.finishing:
-                continue
-            if not reactor.turn(self.owner.on_data, data):
-                return  # the owner raised an exception, so its state is unknown
-            if self.closed:
-                return
+            if getattr(self.owner, "is_costly", False) and not self.finishing:
+                async with self.network.costly_reads:
+                    is_open = not self.closed and self.read_now(SHORT_READ_SIZE)
+            else:
+                is_open = self.read_now(self.read_size)
+
+    def read_now(self, size: int) -> bool:
+        """Pass received bytes to the owner, and return whether the connection stays open.
+
+        :raises OSError: the connection broke
+        """
+        try:
+            data = self.sock.recv(size)
+        except BlockingIOError:
+            return True
+        if not data:
+            return False
+        self.read_size = READ_SIZE
+        if self.finishing:
+            return True
+        # after an exception in the owner its state is unknown
+        return self.network.reactor.turn(self.owner.on_data, data) and not self.closed
 
 
 class SocketNetwork:
@@ -217,6 +232,8 @@
 
     :param host: the address from which connections are opened; "" leaves it to the kernel
     :param connection_type: the class of the connections
+    :ivar costly_reads: held by a connection while it reads what is costly to parse; one does so in a
+        round of the event loop, so that the others wait for it alone
     """
 
     def __init__(
@@ -229,6 +246,7 @@
         self.host, self.nursery, self.reactor = host, nursery, reactor
         self.connection_type = connection_type
         self.open: set[SocketConnection] = set()
+        self.costly_reads = trio.StrictFIFOLock()
 
     def has_unsent_output(self) -> bool:
         """Return whether an open connection has bytes that the kernel has not accepted yet."""
--- a/packages/runtime/meadowdock/runtime/http_messages.py
+++ b/packages/runtime/meadowdock/runtime/http_messages.py
@@ -18,6 +18,10 @@
 MAX_HEAD_SIZE = 64 << 10  # bytes of a head, including trailers
 RECEIVE_SIZE = 16 << 10  # bytes of one read from a socket; a server buffers at most one read
 
+# A read of more steps (lines, parts of a body) than this is costly to parse for its size.
+COSTLY_STEPS = 200
+REQUEST_STEPS = 10  # as many as a whole request counts for
+
 VALID_TARGET = re.compile(rb"[!-~]+").fullmatch
 VALID_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+").fullmatch
 VALID_VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*").fullmatch
