Clients of HTTP listeners that read no answer, or send hundreds of requests at once

Callers saw: 600 connections with pipelined requests whose answers aren't read kept the operator of a core machine unanswered for 30 s and more (trial), and each held up to 600 parsed requests of one read, in no account.

Cause: a response that the client doesn't take blocked its connection for ever, and such a connection was neither given up nor closed for others; all requests of a read were parsed at once.

Change: a response is sent in parts of 64 KiB with 60 s for each; what is blocked for a second may be closed for others; its bytes are in the account; 64 requests of one read are served, and the last answer closes the connection (what is behind it was not run); reads that are costly to parse take turns.

--- a/packages/runtime/meadowdock/runtime/http_connection.py
+++ b/packages/runtime/meadowdock/runtime/http_connection.py
@@ -8,9 +8,11 @@
 
 import trio
 
+from meadowdock.runtime.clock import SECOND, monotonic_us
 from meadowdock.runtime.exceptions import ConnectionEnded, InvalidHttpMessage
 from meadowdock.runtime.http_messages import (
     CONNECTION_ERRORS,
+    COSTLY_STEPS,
     RECEIVE_SIZE,
     Headers,
     header_tokens,
@@ -24,6 +26,10 @@
 )
 
 BODY_TIMEOUT_S = 60.0  # without a byte of a body that is read
+SEND_TIMEOUT_S = 60.0  # in which the client takes SEND_SIZE of a response
+SEND_SIZE = 64 << 10  # bytes
+BLOCKED_US = SECOND  # a response that the client doesn't take for this long may be given up
+SHORT_RECEIVE_SIZE = 4 << 10  # bytes of what is costly to parse
 LINGER_S = 1.0  # how long to receive and drop bytes after the last response
 
 Message = dict[str, Any]  # of ASGI
@@ -40,7 +46,10 @@
     :ivar is_receiving: bytes are waited for.
     :ivar is_parsing: bytes that were received are being entered into the account.
     :ivar is_lingering: the last response was sent, and what is still received is dropped.
+    :ivar sending_since: when the client began to take the bytes that are being sent, 0 if none are.
+    :ivar unsent_size: bytes of the response that is being sent.
     :ivar completed_at: when the last request was answered, 0 if none was.
+    :ivar is_costly: what was received last was costly to parse.
     """
 
     def __init__(
@@ -48,7 +57,16 @@
         stream: trio.SocketStream,
         is_closing: Callable[[], bool],
         on_received: Callable[[int], None] = lambda size: None,
+        costly_reads: trio.StrictFIFOLock | None = None,
     ) -> None:
+        """Create the stream.
+
+        :param costly_reads: held while bytes that are costly to parse are read, by one connection in
+            a round of the event loop.
+        """
+        self.costly_reads = costly_reads or trio.StrictFIFOLock()
+        self.is_costly = False
+        self.sending_since = self.unsent_size = 0
         self.on_received = on_received
         self.stream, self.reader, self.is_closing = stream, RequestReader(), is_closing
         self.events = self.reader.events
@@ -66,16 +84,53 @@
         """
         self.is_receiving = True
         try:
-            data = await self.stream.receive_some(RECEIVE_SIZE)
+            if not self.is_costly:
+                self.parse(await self.stream.receive_some(RECEIVE_SIZE))
+                return
+            await trio.lowlevel.wait_readable(self.stream.socket)
+            async with self.costly_reads:
+                self.parse(await self.stream.receive_some(SHORT_RECEIVE_SIZE))
         finally:
             self.is_receiving = False
+
+    def parse(self, data: bytes) -> None:
+        """Parse received bytes, and enter them into the account.
+
+        :raises ConnectionEnded: there are none, as the client closed the connection.
+        """
+        self.is_receiving = False
         if not data:
             raise ConnectionEnded
         self.reader.feed(data)
+        self.is_costly = self.reader.step_count > COSTLY_STEPS
         self.is_parsing = True
         self.on_received(len(data))
         self.is_parsing = False
 
+    def is_blocked(self) -> bool:
+        """Return whether the client doesn't take a response."""
+        return self.sending_since > 0 and monotonic_us() - self.sending_since > BLOCKED_US
+
+    async def send(self, data: bytes) -> None:
+        """Send a response, or a part of one.
+
+        :raises OSError, trio.BrokenResourceError, trio.ClosedResourceError: the connection broke, or
+            the client takes nothing.
+        """
+        view = memoryview(data)
+        self.unsent_size = len(data)
+        self.on_received(0)
+        try:
+            while len(view):
+                self.sending_since = monotonic_us()
+                with trio.move_on_after(SEND_TIMEOUT_S) as waiting:
+                    await self.stream.send_all(view[:SEND_SIZE])
+                if waiting.cancelled_caught:
+                    raise TimeoutError("the client doesn't take the response")
+                view = view[SEND_SIZE:]
+        finally:
+            self.sending_since = self.unsent_size = 0
+
     def next_event(self) -> RequestHead | bytes | RequestEnd:
         """Remove the next parsed event from the queue and return it.
 
@@ -182,7 +237,7 @@
         self.head = b""
         try:
             if not self.disconnected and data:
-                await self.connection.stream.send_all(data)
+                await self.connection.send(data)
         except CONNECTION_ERRORS:
             self.disconnected = True
         self.answered = not more
@@ -238,6 +293,8 @@
             raise self.error
         if self.disconnected or not self.answered:
             return False
-        if not self.keep_alive and (not self.complete or self.connection.events):
+        if not self.keep_alive and (
+            not self.complete or self.connection.events or self.connection.reader.is_cut_off()
+        ):
             await self.connection.close_after_response()
         return self.keep_alive
--- a/packages/runtime/meadowdock/runtime/http_request_reader.py
+++ b/packages/runtime/meadowdock/runtime/http_request_reader.py
@@ -13,6 +13,7 @@
 from meadowdock.runtime.client_memory import HEADER_LINE_MEMORY_BYTES
 from meadowdock.runtime.exceptions import InvalidHttpMessage
 from meadowdock.runtime.http_messages import (
+    REQUEST_STEPS,
     VALID_TARGET,
     HeadParser,
     header_tokens,
@@ -20,6 +21,7 @@
     path_and_query,
 )
 
+MAX_REQUESTS_AT_ONCE = 64  # of one read; the answer to the last closes the connection
 REQUEST_MEMORY_BYTES = 1_500  # of the objects of a request, beside its header lines
 
 Scope = dict[str, Any]  # of ASGI
@@ -71,6 +73,8 @@
     REQUEST_END, or InvalidHttpMessage, which is always the last event.
 
     :ivar ended: nothing more is parsed, after an invalid message or the last request.
+    :ivar step_count: how many lines, parts and requests the last feed held, a request counting for
+        REQUEST_STEPS.
     """
 
     def __init__(self) -> None:
@@ -78,6 +82,7 @@
         self.events: deque[RequestEvent] = deque()
         self.ended = False
         self.keep_alive = True
+        self.step_count = self.head_count = 0  # of the last feed
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.target = b""
 
@@ -88,6 +93,10 @@
         unfinished = self.size + lines if self.in_head else 0
         return unfinished + sum(event_size(event) for event in self.events)
 
+    def is_cut_off(self) -> bool:
+        """Return whether requests behind the last one may have been dropped."""
+        return self.head_count >= MAX_REQUESTS_AT_ONCE
+
     def discard(self) -> None:
         """Drop all that was parsed; nothing more is.
 
@@ -101,6 +110,7 @@
 
     def feed(self, data: bytes) -> None:
         """Parse bytes into events; they are refused with 503 if the address space is used up."""
+        self.step_count = self.head_count = 0
         if not has_headroom():
             self.reject(HTTPStatus.SERVICE_UNAVAILABLE)
         while data and not self.ended and self.parser is not None:
@@ -134,6 +144,11 @@
         super().on_message_begin()
         self.target = b""
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header (callback of httptools); trailers are counted, but dropped."""
+        self.step_count += 1
+        super().on_header(name, value)
+
     def on_url(self, url: bytes) -> None:
         """Add a part of the target (callback of httptools)."""
         self.count(len(url))
@@ -149,8 +164,11 @@
         path, _, query = path_and_query(self.target).partition(b"?")
         connection = header_tokens(self.headers, b"connection")
         expected = header_tokens(self.headers, b"expect")
-        self.keep_alive = b"close" not in connection and (
-            version == "1.1" or b"keep-alive" in connection
+        self.head_count += 1
+        self.keep_alive = (
+            b"close" not in connection
+            and (version == "1.1" or b"keep-alive" in connection)
+            and self.head_count < MAX_REQUESTS_AT_ONCE
         )
         headers, self.headers = self.headers, []
         held_bytes = REQUEST_MEMORY_BYTES + self.size + len(headers) * HEADER_LINE_MEMORY_BYTES
@@ -193,6 +211,7 @@
         """Queue a part of the body, joined to the one before it (callback of httptools)."""
         if self.ended:
             return
+        self.step_count += 1
         last = self.events[-1] if self.events else None
         if isinstance(last, bytearray):
             last += data
@@ -204,5 +223,6 @@
     def on_message_complete(self) -> None:
         """Queue the end of the request (callback of httptools)."""
         if not self.ended:
+            self.step_count += REQUEST_STEPS
             self.events.append(REQUEST_END)
             self.ended = not self.keep_alive
--- a/packages/runtime/meadowdock/runtime/http_server.py
+++ b/packages/runtime/meadowdock/runtime/http_server.py
@@ -36,7 +36,9 @@
 
     def __init__(self, server: HttpServer, stream: trio.SocketStream) -> None:
         self.server, self.stream = server, stream
-        self.requests = RequestStream(stream, lambda: server.closing, self.on_received)
+        self.requests = RequestStream(
+            stream, lambda: server.closing, self.on_received, server.costly_reads
+        )
         memory = server.limits.memory if server.limits else ClientMemory(None)
         self.memory = memory.open(self)
         self.head_bytes = 0  # held by the head of the request that is being served
@@ -54,11 +56,14 @@
 
     def update_memory(self) -> None:
         """Enter what this connection holds into the account."""
-        self.memory.resize(self.head_bytes + self.request_size + self.requests.reader.held_bytes)
+        requests = self.requests
+        held = self.head_bytes + self.request_size + requests.reader.held_bytes
+        self.memory.resize(held + requests.unsent_size)
 
     def may_be_given_up(self) -> bool:
-        """Return whether the rest of a request is waited for, or the next one."""
-        return self.requests.is_receiving or self.requests.is_parsing
+        """Return whether the rest of a request, or the next one, or a reader is waited for."""
+        requests = self.requests
+        return requests.is_receiving or requests.is_parsing or requests.is_blocked()
 
     def give_up(self) -> None:
         """Close the connection; a request that is incomplete has not run."""
@@ -69,12 +74,13 @@
         return self.ended
 
     def may_be_closed(self) -> bool:
-        """Return whether a request, or the rest of one, is waited for, or the last one answered."""
-        return self.requests.is_receiving or self.requests.is_lingering
+        """Return whether nothing is done for a request, or its answer isn't read."""
+        requests = self.requests
+        return requests.is_receiving or requests.is_lingering or requests.is_blocked()
 
     def last_progress_at(self) -> int:
-        """Return when the connection was opened, or the last request on it was complete."""
-        return max(self.opened_at, self.requests.completed_at)
+        """Return when the connection was opened, a request answered, or a response last taken."""
+        return max(self.opened_at, self.requests.completed_at, self.requests.sending_since)
 
     def close_now(self) -> None:
         """Close the connection at once; a request that is incomplete has not run."""
@@ -175,6 +181,7 @@
         self.app, self.closing = app, False
         self.limits: ClientLimits | None = getattr(app, "client_limits", None)
         self.connections: set[ServerConnection] = set()
+        self.costly_reads = trio.StrictFIFOLock()
 
     async def accept(self, stream: trio.SocketStream) -> None:
         """Serve one accepted connection until it ends; close it if the address space is used up.
--- a/tests/runtime/test_request_reader_memory.py
+++ b/tests/runtime/test_request_reader_memory.py
@@ -9,7 +9,11 @@
 
 from meadowdock.runtime.client_memory import HEADER_LINE_MEMORY_BYTES
 from meadowdock.runtime.http_messages import MAX_HEAD_SIZE
-from meadowdock.runtime.http_request_reader import RequestReader
+from meadowdock.runtime.http_request_reader import (
+    MAX_REQUESTS_AT_ONCE,
+    RequestHead,
+    RequestReader,
+)
 
 HEAD = b"POST / HTTP/1.1\r\nHost: x\r\n"
 LINES = b"a: b\r\n" * 1_000
@@ -45,3 +49,12 @@
     reader.feed(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"2\r\nxx\r\n" * 1_000)
     head, body = reader.events
     assert bytes(body) == b"x" * 2_000
+
+
+def test_pipelined_requests_of_one_read_that_are_all_parsed_at_once():
+    reader = RequestReader()
+    reader.feed(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * 600)
+    heads = [event for event in reader.events if isinstance(event, RequestHead)]
+    assert len(heads) == MAX_REQUESTS_AT_ONCE
+    assert [head.keep_alive for head in heads] == [True] * (len(heads) - 1) + [False]
+    assert reader.ended
