The build says at once that a Python after 3.13 has no wheels

The users' machines may have Python 3.14 (FAULT, nothing starts): deploy/build.sh accepted any Python from 3.11 on, and then failed with pip's error, as immutables 0.21 has no wheel for it on either kind of machine (seen with pip for 3.12, 3.13 and 3.14: only this one is missing).

Before: test_the_build_fails_at_once_with_a_python_that_has_no_wheels failed (status 9 of a fake pip); now it passes. 3.12 and 3.13 weren't run: this machine has 3.11 alone.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -12,6 +12,12 @@
     exit 1
 fi
 
+# Not all libraries with compiled parts have wheels for a later one.
+if ! python3 -c 'import sys; sys.exit(sys.version_info[:2] > (3, 13))'; then
+    echo "deploy/build.sh: python3 is $python_version, but 3.11, 3.12 or 3.13 is needed" >&2
+    exit 1
+fi
+
 # Compiles a folder to byte code without docstrings and assertions, because memory is paid for, and
 # stores it under the names of normal byte code. Daemons don't run with python3 -OO, which uses other
 # names: the standard library would then be compiled again at each start.
--- a/tests/project/test_deploy.py
+++ b/tests/project/test_deploy.py
@@ -128,3 +128,23 @@
     assert installations("cpython-311 linux-x86_64") == 1
     assert installations("cpython-311 linux-aarch64") == 2
     assert installations("cpython-312 linux-aarch64") == 3
+
+
+def test_the_build_fails_at_once_with_a_python_that_has_no_wheels(tmp_path):
+    """A fake python3 reports version 3.14; the build must neither install nor create anything."""
+    script = tmp_path / "python3"
+    script.write_text(
+        '#!/bin/sh\ncase "$2" in *print*) echo 3.14 ;; *"(3, 13)"*) exit 1 ;; *"(3, 11)"*) exit 0 ;;'
+        " *) exit 9 ;; esac\n"
+    )
+    script.chmod(0o755)
+    process = subprocess.run(
+        ["sh", ROOT / "deploy" / "build.sh"],
+        cwd=tmp_path,
+        env={"PATH": f"{tmp_path}:{os.environ['PATH']}"},
+        capture_output=True,
+        text=True,
+    )
+    assert process.returncode == 1, process.stderr
+    assert "python3 is 3.14, but 3.11, 3.12 or 3.13 is needed" in process.stderr
+    assert os.listdir(tmp_path) == ["python3"]
