Disk access for which no thread can be started fails as a disk does

Cause: out of address space or processes, threading raises RuntimeError, which no caller of the disk expects, so that it ended tasks instead of the access. Change: it is an OSError (EAGAIN), like a full disk.

Before: test_disk_access_that_ends_a_task_as_no_thread_can_be_started failed with RuntimeError; now it passes.

--- a/packages/runtime/meadowdock/runtime/disk.py
+++ b/packages/runtime/meadowdock/runtime/disk.py
@@ -10,11 +10,15 @@
 
 from __future__ import annotations
 
+import errno
 import os
-from typing import Protocol
+from collections.abc import Callable
+from typing import Any, Protocol, TypeVar
 
 import trio
 
+Result = TypeVar("Result")
+
 MAX_THREADS = 8
 TEMPORARY_SUFFIX = ".aside"  # of files whose write is in progress or was interrupted
 
@@ -59,6 +63,16 @@
         """Return the path of a file."""
         return os.path.join(self.root, name)
 
+    async def run(self, work: Callable[..., Result], *args: Any) -> Result:
+        """Run blocking disk access in a thread.
+
+        :raises OSError: it failed, or no thread can be started.
+        """
+        try:
+            return await trio.to_thread.run_sync(work, *args, limiter=self.threads)
+        except RuntimeError as error:  # of threading, out of memory or of processes
+            raise OSError(errno.EAGAIN, str(error)) from error
+
     async def write(self, name: str, data: bytes) -> None:
         """Write a file atomically; it is durable once this returns.
 
@@ -67,38 +81,30 @@
         lock = self.write_locks.setdefault(name, trio.Lock())
         try:
             async with lock:  # concurrent writes of one name would share the temporary file
-                await trio.to_thread.run_sync(
-                    self.write_in_thread, name, data, limiter=self.threads
-                )
+                await self.run(self.write_in_thread, name, data)
         finally:
             if not lock.locked():
                 self.write_locks.pop(name, None)
 
     async def read(self, name: str) -> bytes | None:
         """Return the content of a file, or None if it doesn't exist."""
-        return await trio.to_thread.run_sync(self.read_in_thread, name, limiter=self.threads)
+        return await self.run(self.read_in_thread, name)
 
     async def list_folder(self, folder: str) -> list[str]:
         """Return the names in a folder, sorted."""
-        return await trio.to_thread.run_sync(
-            self.list_folder_in_thread, folder, limiter=self.threads
-        )
+        return await self.run(self.list_folder_in_thread, folder)
 
     async def file_sizes(self, folder: str) -> dict[str, int]:
         """Return the bytes of each file in a folder by its name."""
-        return await trio.to_thread.run_sync(
-            self.file_sizes_in_thread, folder, limiter=self.threads
-        )
+        return await self.run(self.file_sizes_in_thread, folder)
 
     async def remove(self, name: str) -> None:
         """Remove a file, if it exists."""
-        await trio.to_thread.run_sync(self.remove_in_thread, name, limiter=self.threads)
+        await self.run(self.remove_in_thread, name)
 
     async def rename_folder(self, folder: str, new_name: str) -> None:
         """Rename a folder; the new name is durable once this returns."""
-        await trio.to_thread.run_sync(
-            self.rename_folder_in_thread, folder, new_name, limiter=self.threads
-        )
+        await self.run(self.rename_folder_in_thread, folder, new_name)
 
     def write_in_thread(self, name: str, data: bytes) -> None:
         """Write a file (blocking)."""
--- a/tests/process/test_limits_of_memory.py
+++ b/tests/process/test_limits_of_memory.py
@@ -5,10 +5,15 @@
 import json
 import subprocess
 import sys
+import threading
+
+import pytest
+import trio
 
 from meadowdock.logs import Log
 from meadowdock.process import runner
 from meadowdock.process.failure import ProcessFailure
+from meadowdock.runtime import Disk
 
 LIMIT_MB = 200
 USE_UP_THE_ADDRESS_SPACE = f"""
@@ -47,3 +52,15 @@
     runner.log_failure(MemoryError(), log, last_words)
     event = json.loads(capfd.readouterr().err)
     assert (event["event"], event["cause"]) == ("process_failed", "MemoryError()")
+
+
+def test_disk_access_that_ends_a_task_as_no_thread_can_be_started(tmp_path, monkeypatch):
+    """It fails as a disk does, which all callers expect."""
+
+    def start_thread(self):
+        raise RuntimeError("can't start new thread")
+
+    monkeypatch.setattr(threading.Thread, "start", start_thread)
+    monkeypatch.setattr(trio._core._thread_cache.THREAD_CACHE, "_idle_workers", {})
+    with pytest.raises(OSError, match="can't start new thread"):
+        trio.run(Disk(str(tmp_path)).write, "name", b"data")
