A peer's link gives way for memory only after clients do

Clients go first now. Complete frames no longer touch the account.

Before: test_link_of_a_peer_that_is_closed_while_clients_hold_the_memory failed.

--- a/packages/forwarding/meadowdock/forwarding/peer_link.py
+++ b/packages/forwarding/meadowdock/forwarding/peer_link.py
@@ -342,8 +342,12 @@
     def on_data(self, data: bytes) -> None:
         """Handle bytes from the peer, and enter those of an incomplete frame into the account."""
         super().on_data(data)
-        if self.entry is not None:
-            self.entry.received(len(data), len(self.frame_reader.partial))
+        entry, partial_size = self.entry, len(self.frame_reader.partial)
+        if entry is None:
+            return
+        entry.received_at = self.received_at
+        if partial_size or entry.memory.size:
+            entry.received(len(data), partial_size)
 
     def on_handshake_frame(self, frame: Frame) -> None:
         """Handle the opener's HELLO, or the proof that follows it."""
--- a/packages/runtime/meadowdock/runtime/client_memory.py
+++ b/packages/runtime/meadowdock/runtime/client_memory.py
@@ -42,14 +42,16 @@
     :ivar size: bytes held now.
     :ivar expected: bytes of the body that is arriving, as far as its length was declared.
     :ivar progress_at: when the request that is arriving began, or last made progress.
+    :ivar is_peer: it is given up only if giving up clients isn't enough.
     """
 
-    __slots__ = ("memory", "client", "size", "expected", "progress_at", "unmarked")
+    __slots__ = ("memory", "client", "size", "expected", "progress_at", "unmarked", "is_peer")
 
     def __init__(self, memory: ClientMemory, client: Client) -> None:
         self.memory, self.client = memory, client
         self.size = self.expected = self.unmarked = 0
         self.progress_at = monotonic_us()
+        self.is_peer = False
 
     def received(self, count: int, is_complete: bool) -> None:
         """Note received bytes; a complete request, or SMALL_BYTES of one, are progress."""
@@ -78,9 +80,9 @@
         self.memory.total -= self.size
         self.size = 0
 
-    def badness(self, now: int) -> int:
-        """Return by which the connections to be given up are ordered: size times age."""
-        return self.size * (now - self.progress_at + AGE_FLOOR_US)
+    def badness(self, now: int) -> tuple[bool, int]:
+        """Return by which the connections to be given up are ordered: clients first, size times age."""
+        return not self.is_peer, self.size * (now - self.progress_at + AGE_FLOOR_US)
 
 
 class ClientMemory:
--- a/packages/runtime/meadowdock/runtime/peer_connections.py
+++ b/packages/runtime/meadowdock/runtime/peer_connections.py
@@ -44,7 +44,7 @@
     def authenticated(self) -> bool:
         """Note that the other side is a peer, and return whether there is room for it."""
         self.limits.handshakes.discard(self)
-        self.is_authenticated = True
+        self.is_authenticated = self.memory.is_peer = True
         return self.limits.peers.admit(self)
 
     def end(self) -> None:
--- a/tests/runtime/test_peer_connections.py
+++ b/tests/runtime/test_peer_connections.py
@@ -56,3 +56,15 @@
         entry.received(400_000, 400_000)
     assert closed
     assert limits.memory.total <= 1_000_000
+
+
+def test_link_of_a_peer_that_is_closed_while_clients_hold_the_memory():
+    limits, closed = make_limits(memory_mb=3), []
+    peer = accept(limits, closed, "peer")
+    assert peer.authenticated()
+    peer.received(600_000, 600_000)
+    for number in range(10):
+        unknown = accept(limits, closed, number)
+        unknown.received(100_000, 100_000)
+    assert 0 in closed
+    assert "peer" not in closed
