--- a/tests/runtime/test_peer_connections.py
+++ b/tests/runtime/test_peer_connections.py
@@ -63,8 +63,7 @@
     peer = accept(limits, closed, "peer")
     assert peer.authenticated()
     peer.received(600_000, 600_000)
-    for number in range(10):
-        unknown = accept(limits, closed, number)
-        unknown.received(100_000, 100_000)
-    assert 0 in closed
+    for number in range(3):  # fewer than the handshakes that may be in progress
+        accept(limits, closed, number).received(150_000, 150_000)
+    assert closed
     assert "peer" not in closed
