The heads of pipelined requests are in the account, too

Cause: a request that runs counted for its body and 4 KiB, while its head of 15 KB, which is forwarded, counted for nothing, so that 64 of a connection were read. Change: the head counts.

--- a/packages/forwarding/meadowdock/forwarding/downstream.py
+++ b/packages/forwarding/meadowdock/forwarding/downstream.py
@@ -32,7 +32,7 @@
 NO_MEMORY = "no memory for the body now"
 NO_CONNECTION = "no connection for the request now"
 RETRY_SOON = b"Retry-After: 1\r\n"
-CALL_MEMORY_BYTES = 4096  # of the objects of a request that runs, beside its body
+CALL_MEMORY_BYTES = 4096  # of the objects of a request that runs, beside its head and its body
 # A connection that holds more than this for requests in progress is not read until some are answered.
 PIPELINE_MAX_BYTES = 1 << 18
 BLOCKED_WRITE_TIMEOUT_US = 10 * SECOND  # a caller that reads nothing for this long is disconnected
@@ -189,7 +189,7 @@
         """Add a pending answer for a request and return it."""
         pending = PendingAnswer(
             not request.keep_alive,
-            CALL_MEMORY_BYTES + len(request.body),
+            CALL_MEMORY_BYTES + request.head_size + len(request.body),
             request.method == b"HEAD",
         )
         if not request.keep_alive:
--- a/packages/forwarding/meadowdock/forwarding/http.py
+++ b/packages/forwarding/meadowdock/forwarding/http.py
@@ -54,6 +54,7 @@
     mesh_headers: dict[bytes, bytes]  # the dialect's headers in it, by lower-case name
     body: bytes | bytearray
     keep_alive: bool
+    head_size: int = 0  # bytes
 
 
 def end_to_end(lines: Collection[HeaderLine]) -> list[HeaderLine]:
@@ -281,6 +282,7 @@
                 self.mesh_headers,
                 body,
                 parser.should_keep_alive(),
+                len(self.url) + self.head_size,
             )
         )
 
