--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -48,7 +48,7 @@
 zone = "a"
 bootstrap = true
 dataDirectory = "{folder}/{role}"
-service = "desk"
+service = "{service}"
 appAddress = "{host}:{app}"
 [localNode.limits]
 memoryMb = {memory_mb}
@@ -152,16 +152,30 @@
     process: subprocess.Popen
     peak: Peak = field(default_factory=Peak)
 
+    def status(self, name: str) -> int:
+        """Return a field of the status of the process, in kB; 0 once it has ended."""
+        text = Path(f"/proc/{self.process.pid}/status").read_text()
+        value = re.search(rf"^{name}:\s*(\d+)", text, re.MULTILINE)
+        return int(value[1]) if value else 0
+
+    def memory_kb(self) -> int:
+        """Return the private memory of the process now."""
+        return self.status("RssAnon")
+
+    def address_space_bytes(self) -> int:
+        """Return the address space of the process now."""
+        return self.status("VmSize") * 1024
+
+    def descriptors(self) -> int:
+        """Return how many descriptors the process has open."""
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
     def watch(self) -> None:
         """Take samples until the process ends."""
         while self.process.poll() is None:
             with contextlib.suppress(OSError):
-                status = Path(f"/proc/{self.process.pid}/status").read_text()
-                used = re.search(r"^RssAnon:\s*(\d+)", status, re.MULTILINE)
-                if used:  # a process that has ended has none
-                    self.peak.memory_kb = max(self.peak.memory_kb, int(used[1]))
-                count = len(os.listdir(f"/proc/{self.process.pid}/fd"))
-                self.peak.descriptors = max(self.peak.descriptors, count)
+                self.peak.memory_kb = max(self.peak.memory_kb, self.memory_kb())
+                self.peak.descriptors = max(self.peak.descriptors, self.descriptors())
             time.sleep(0.005)
 
 
@@ -179,12 +193,17 @@
         self.stopping = threading.Event()
         self.endpoint = http.server.ThreadingHTTPServer((self.side, APP), StandInEndpoint)
 
-    def start(self, role: str, host: str) -> None:
-        """Start a role, and watch it."""
-        path = self.folder / f"{role}.toml"
+    def start(self, role: str, host: str, name: str = "", service: str = "desk") -> None:
+        """Start a role, and watch it.
+
+        :param name: of the process, if the role has several.
+        """
+        name = name or role
+        path = self.folder / f"{name}.toml"
         path.write_text(
             SETTINGS.format(
-                role=role,
+                role=name,
+                service=service,
                 machine_class="sidecar" if role == "mdproxy" else "core",
                 host=host,
                 core=self.core,
@@ -200,7 +219,7 @@
             )
         )
         code = f"from platform_adapter.main import main; main({role!r})"
-        with open(self.folder / f"{role}.log", "wb") as log:
+        with open(self.folder / f"{name}.log", "wb") as log:
             process = subprocess.Popen(
                 [sys.executable, "-c", code],
                 env={
@@ -212,8 +231,8 @@
                 stderr=log,
                 preexec_fn=self.limits.apply,
             )
-        self.watched[role] = Watched(process)
-        threading.Thread(target=self.watched[role].watch, daemon=True).start()
+        self.watched[name] = Watched(process)
+        threading.Thread(target=self.watched[name].watch, daemon=True).start()
 
     def begin(self) -> None:
         """Start all, configure, and wait until a request is answered."""
@@ -246,9 +265,9 @@
         finally:
             connection.close()
 
-    def configure(self, version: int = 7) -> bool:
-        """Send the configuration; return whether it was acknowledged."""
-        entries = [
+    def route_entries(self) -> list[tuple[str, str, dict[str, object]]]:
+        """Return the routes and services of the configuration: kind, name and specification."""
+        return [
             (
                 "routeTable",
                 "r",
@@ -273,6 +292,12 @@
                     "tlsEnabled": False,
                 },
             ),
+        ]
+
+    def configure(self, version: int = 7) -> bool:
+        """Send the configuration; return whether it was acknowledged."""
+        entries = [
+            *self.route_entries(),
             (
                 "limits",
                 "",
