What an rpc client has read of a response is in the account of the process

Seen: frames of up to 32 MiB from a peer, one for each connection that a process opened, were in no account. Cause: the account had the frames at accepted connections alone. Now the client's end enters an incomplete frame, too, and is closed if giving up clients is not enough; the calls on it fail as on a lost connection.

--- a/packages/process/meadowdock/process/node.py
+++ b/packages/process/meadowdock/process/node.py
@@ -57,17 +57,23 @@
         self.settings, self.runtime = settings, runtime
         self.log = log or Log(settings.node_name)
         self.nursery = GuardedNursery(nursery, self.log)
+        self.client_memory = runtime.net.memory = ClientMemory(settings.memory_mb, self.log)
         self.incarnation = runtime.wall_us()
         self_peer = Peer(settings.node_name, settings.rpc_address)
         self.rpc = ConnectionPool(
-            self.nursery, runtime.net, settings.fleet_key, runtime.rng, self_peer, self.log
+            self.nursery,
+            runtime.net,
+            settings.fleet_key,
+            runtime.rng,
+            self_peer,
+            self.log,
+            memory=self.client_memory,
         )
         entry = MemberEntry(
             settings.rpc_address, settings.role, settings.zone, self.incarnation, 0, False, 0
         )
         self.membership = GossipMembership(entry, settings.seeds, runtime.rng, self.rpc, self.log)
         self.first_start = FirstStartWitness(settings, self.membership)
-        self.client_memory = ClientMemory(settings.memory_mb, self.log)
         self.peer_limits = PeerLimits(
             settings.descriptors, self.client_memory, has_callers=bool(settings.gate_address)
         )
--- a/packages/rpc/meadowdock/rpc/client.py
+++ b/packages/rpc/meadowdock/rpc/client.py
@@ -12,6 +12,7 @@
 from meadowdock.rpc.handshake import Session
 from meadowdock.rpc.messages import CallId, Cancel, Request, Response, decode_from_server
 from meadowdock.runtime import MILLISECOND, deadline_scope, monotonic_us
+from meadowdock.runtime.client_memory import ClientMemory
 from meadowdock.runtime.slab import Slab
 
 MAX_QUEUED_REQUESTS = 4096
@@ -51,7 +52,16 @@
     :ivar draining: the pool sends no new calls over it; pending calls may still complete.
     """
 
-    def __init__(self, stream: trio.abc.Stream, session: Session) -> None:
+    def __init__(
+        self, stream: trio.abc.Stream, session: Session, memory: ClientMemory | None = None
+    ) -> None:
+        """Create the client's end of a connection.
+
+        :param memory: the account of the process, which has the incomplete frame of a response.
+        """
+        self.memory = (memory or ClientMemory(None)).open(self)
+        self.memory.is_peer = True
+        session.reader.on_partial = self.on_partial
         self.stream, self.session = stream, session
         self.peer = session.peer
         self.pending: Slab[PendingCall] = Slab()
@@ -60,6 +70,24 @@
         self.draining = False
         self.last_received_us = monotonic_us()
 
+    def on_partial(self, received: int, held: int) -> None:
+        """Enter what is held of an incomplete frame into the account; connections may be closed."""
+        self.memory.received(received, is_complete=not held)
+        self.memory.resize(held)
+        self.memory.memory.relieve()
+
+    def may_be_given_up(self) -> bool:
+        """Return whether a frame is incomplete."""
+        return self.memory.size > 0
+
+    def give_up(self) -> None:
+        """Close the connection, as its memory is needed."""
+        self.memory.close()
+        self.fail("no memory for its frames")
+        sock = getattr(self.stream, "socket", None)
+        if sock is not None:
+            sock.close()
+
     def accepts_calls(self) -> bool:
         """Return whether new calls may be sent over the connection."""
         return self.failure is None and not self.draining
@@ -78,6 +106,7 @@
                 raise
         finally:
             self.fail("closed")
+            self.memory.close()
             await trio.aclose_forcefully(self.stream)
 
     def fail(self, cause: object) -> None:
--- a/packages/rpc/meadowdock/rpc/connection_pool.py
+++ b/packages/rpc/meadowdock/rpc/connection_pool.py
@@ -14,6 +14,7 @@
 from meadowdock.rpc.exceptions import CONNECTION_ERRORS, ConnectionFailed, Rejected, RpcError
 from meadowdock.rpc.handshake import Peer, client_handshake
 from meadowdock.runtime import MILLISECOND, Net, deadline_scope, monotonic_us
+from meadowdock.runtime.client_memory import ClientMemory
 
 CONNECT_TIMEOUT = 500 * MILLISECOND  # us
 
@@ -47,7 +48,9 @@
         local_peer: Peer,
         log: Callable[..., object],
         connect_timeout: int = CONNECT_TIMEOUT,
+        memory: ClientMemory | None = None,
     ) -> None:
+        self.memory = memory or ClientMemory(None)
         self.nursery, self.net, self.fleet_key, self.rng = nursery, net, fleet_key, rng
         self.local_peer, self.log, self.connect_timeout = local_peer, log, connect_timeout
         self.connections: dict[str, ClientConnection] = {}
@@ -104,7 +107,7 @@
         except BaseException:
             await trio.aclose_forcefully(stream)
             raise
-        return ClientConnection(stream, session)
+        return ClientConnection(stream, session, self.memory)
 
     async def run(self, connection: ClientConnection) -> None:
         """Run a connection until it ends, then log why."""
