The HTTP client of a process bounds each kind of bytes of a response, in the account

Seen (tests/runtime/test_endless_answers.py): empty lines, interim responses, a trailer's value, chunk extensions and lengths without end were read for as long as the server sent; parts of one byte took 40 bytes each. Cause: only a head's lines and the body were counted, and a refused response was held by the cycle of parser and reader.

--- a/packages/runtime/meadowdock/runtime/http_client.py
+++ b/packages/runtime/meadowdock/runtime/http_client.py
@@ -10,6 +10,7 @@
 import trio
 
 from meadowdock.runtime.address import Address
+from meadowdock.runtime.client_memory import ClientMemory, MemoryEntry
 from meadowdock.runtime.exceptions import HttpConnectionFailed, InvalidHttpMessage
 from meadowdock.runtime.http_messages import (
     CONNECTION_ERRORS,
@@ -28,6 +29,7 @@
 REQUEST_ERRORS = (
     *CONNECTION_ERRORS,
     InvalidHttpMessage,
+    MemoryError,
     ValueError,
     httptools.HttpParserError,
     httptools.HttpParserUpgrade,
@@ -37,13 +39,22 @@
 class HttpConnection:
     """A connection to one address, opened at the first request and closed by any failure."""
 
-    def __init__(self, address: Address, host: str | None, max_response_size: int) -> None:
+    def __init__(
+        self,
+        address: Address,
+        host: str | None,
+        max_response_size: int,
+        memory: ClientMemory | None = None,
+    ) -> None:
         """Prepare a connection.
 
         :param host: the local IP address to connect from, or None for any.
         :param max_response_size: maximum size of a response's body in bytes.
+        :param memory: the account of the process, which has what a response takes until it is complete.
         """
         self.address, self.host, self.max_response_size = address, host, max_response_size
+        self.memory = memory or ClientMemory(None)
+        self.entry: MemoryEntry | None = None  # of the latest response
         self.stream: trio.SocketStream | None = None
         self.closed = False
 
@@ -100,8 +111,11 @@
             if started:
                 started()
             reader = ResponseReader(method, self.max_response_size)
-            reusable = await self.exchange(stream, data, reader)
-            return reader.response()
+            try:
+                reusable = await self.exchange(stream, data, reader)
+                return reader.response()
+            finally:
+                reader.discard()
         except REQUEST_ERRORS as cause:
             raise HttpConnectionFailed(sent, cause) from cause
         finally:
@@ -134,19 +148,47 @@
         :raises REQUEST_ERRORS, HttpConnectionFailed: there was no valid response.
         """
         sent_to_end = await self.send(stream, data)
-        closed = False
-        while not reader.complete:
-            received = await stream.receive_some(RECEIVE_SIZE)
-            if received:
-                reader.feed(received)
-                continue
-            closed = True
-            if not reader.end():
-                raise HttpConnectionFailed(True, "connection closed before the end of the response")
+        closed = await self.receive(stream, reader)
         if reader.has_surplus:
             raise HttpConnectionFailed(True, "unexpected bytes after the end of the response")
         return reader.reusable and sent_to_end and not closed
 
+    async def receive(self, stream: trio.SocketStream, reader: ResponseReader) -> bool:
+        """Read a response to its end, and return whether the server closed the connection.
+
+        :raises REQUEST_ERRORS, HttpConnectionFailed: there was no valid response, or the account of
+            the process has no memory for it.
+        """
+        entry = self.entry = self.memory.open(self)
+        try:
+            while not reader.complete:
+                received = await stream.receive_some(RECEIVE_SIZE)
+                if received:
+                    reader.feed(received)
+                    entry.received(len(received), is_complete=False)
+                    entry.resize(reader.held_bytes)
+                    self.memory.relieve()
+                elif reader.end():
+                    return True
+                else:
+                    raise HttpConnectionFailed(
+                        True, "connection closed before the end of the response"
+                    )
+            return False
+        finally:
+            entry.close()
+
+    def may_be_given_up(self) -> bool:
+        """Return whether a response is incomplete; there is an entry in the account only then."""
+        return True
+
+    def give_up(self) -> None:
+        """Close the connection, as the memory of the response is needed."""
+        if self.entry is not None:
+            self.entry.close()
+        if self.stream is not None:
+            self.stream.socket.close()
+
     async def send(self, stream: trio.SocketStream, data: bytes) -> bool:
         """Send a request, and return whether it was sent to its end.
 
--- a/packages/runtime/meadowdock/runtime/net.py
+++ b/packages/runtime/meadowdock/runtime/net.py
@@ -7,6 +7,7 @@
 import trio
 
 from meadowdock.runtime.address import Address
+from meadowdock.runtime.client_memory import ClientMemory
 from meadowdock.runtime.http_client import HttpConnection
 from meadowdock.runtime.http_server import App, serve_http
 
@@ -17,10 +18,12 @@
     """Opens and accepts the connections of one process.
 
     :ivar host: the IP address from which this process connects, or None for any.
+    :ivar memory: the account of the process, which has what HTTP responses take while they arrive.
     """
 
     def __init__(self, host: str | None = None) -> None:
         self.host = host
+        self.memory: ClientMemory | None = None
 
     async def serve_streams(
         self,
@@ -68,4 +71,4 @@
 
         :param max_response_size: maximum size of a response's body in bytes.
         """
-        return HttpConnection(Address(address), self.host, max_response_size)
+        return HttpConnection(Address(address), self.host, max_response_size, self.memory)
