mdctl reads a bounded answer, in bytes and in time

Seen by users: at a server that sends without end mdctl took 1,104 MB in 20 s (chunks), 215 MB (chunks of one byte), or read interim answers without an end. Cause: nothing but single reads had a bound.

--- a/packages/cli/meadowdock/cli/operator_client.py
+++ b/packages/cli/meadowdock/cli/operator_client.py
@@ -10,6 +10,7 @@
 
 import httpcore
 
+from meadowdock.cli.bounded_network import AnswerBounds, BoundedNetwork, read_body
 from meadowdock.cli.exceptions import OutcomeUnknown, Unreachable
 
 CONNECT_TIMEOUT_S = 2
@@ -47,10 +48,12 @@
 ) -> tuple[int, Any]:
     """Send a request to one member, as `send_request` does."""
     sent = False
+    bounds = AnswerBounds()
 
     def trace(event: str, info: dict[str, Any]) -> None:
         nonlocal sent
         sent = sent or event == "http11.send_request_headers.started"
+        bounds.in_head = bounds.in_head and event != "http11.receive_response_headers.complete"
 
     headers: dict[bytes | str, bytes | str] = {"content-type": "application/json"}
     if key:
@@ -61,16 +64,16 @@
         "write": wait_s,
         "pool": CONNECT_TIMEOUT_S,
     }
-    with httpcore.ConnectionPool() as pool:
+    with httpcore.ConnectionPool(network_backend=BoundedNetwork(bounds)) as pool:
         try:
-            response = pool.request(
+            with pool.stream(
                 method,
                 f"http://{member}{path}",
                 headers=headers,
                 content=body,
                 extensions={"trace": trace, "timeout": timeout},
-            )
-            return response.status, json.loads(response.content)
+            ) as response:
+                return response.status, json.loads(read_body(response.iter_stream()))
         except TRANSPORT_ERRORS as cause:
             if sent:
                 raise OutcomeUnknown(f"{member}: {cause!r}") from cause
