A process that met its limit of address space serves again, and says that it did

Seen by callers: with 300 MB of address space mdproxy closed each new connection without an answer, also 45 s after the faulty endpoint's callers had gone. Cause: what had ended waited for the garbage collector, which runs with allocations; a process that refuses each connection makes none, and freed memory stayed reserved.

--- a/packages/logs/meadowdock/logs/catalogue.py
+++ b/packages/logs/meadowdock/logs/catalogue.py
@@ -63,6 +63,11 @@
         "connections of clients were given up for want of memory or descriptors: says how many, "
         "and what clients hold",
     ),
+    log_events.ADDRESS_SPACE_USED_UP: EventKind(
+        "address_space_used_up",
+        "no address space is left for a connection or a read, so it was refused: says how much is "
+        "reserved, and how often",
+    ),
     log_events.CONNECTION_REJECTED: EventKind(
         "connection_rejected", "a peer failed the proof of the fleet key, or sent a malformed frame"
     ),
--- a/packages/process/meadowdock/process/runner.py
+++ b/packages/process/meadowdock/process/runner.py
@@ -20,7 +20,11 @@
 from meadowdock.process.node import Node
 from meadowdock.process.run_record import RunRecord
 from meadowdock.runtime import Disk, Net, NoDisk, Runtime
-from meadowdock.runtime.address_space import reserve_less_for_threads, usable_bytes
+from meadowdock.runtime.address_space import (
+    reclaimer,
+    reserve_less_for_threads,
+    usable_bytes,
+)
 from meadowdock.runtime.client_memory import MEGABYTE
 from meadowdock.runtime.disk import MAX_THREADS
 from meadowdock.settings import ProcessSettings
@@ -125,6 +129,7 @@
         sys.stderr = standard_error()
         faulthandler.enable(STDERR, all_threads=False)  # a crash in a library says where it was
         log = Log(settings.node_name)
+        reclaimer.report_to(log)
         last_words = ProcessFailure((repr(MemoryError()),), "", ()).encoded(log)
         reserve = [bytes(LOGGING_RESERVE_BYTES)]
         sys.setswitchinterval(THREAD_SWITCH_INTERVAL_S)
--- a/packages/runtime/meadowdock/runtime/address_space.py
+++ b/packages/runtime/meadowdock/runtime/address_space.py
@@ -1,18 +1,28 @@
 """The limit of address space (RLIMIT_AS) of a process, which counts what is reserved, too.
 
 The C library reserves a heap and a stack for each thread. Once an allocation fails, httptools ends the
-process with a segmentation fault, so its parsers only run while there is headroom.
+process with a segmentation fault, so its parsers only run while there is headroom. Without it, what the
+process no longer uses is given back: a process that refuses everything allocates nothing, so that the
+garbage collector would never run by itself.
 """
 
 from __future__ import annotations
 
+import gc
 import mmap
 import resource
 import threading
+from collections.abc import Callable
+
+from meadowdock.logs import events as log_events
+from meadowdock.logs.counted_event import CountedEvent
+from meadowdock.runtime.clock import SECOND, monotonic_us
 
 HEADROOM_BYTES = 8 << 20  # more than the parsing of one read takes
 THREAD_STACK_BYTES = 2 << 20
 MALLOPT_ARENA_MAX = -8  # M_ARENA_MAX of mallopt(3)
+RECLAIM_INTERVAL_US = SECOND  # between two attempts to give memory back
+LOG_INTERVAL_US = SECOND
 
 
 def read_limit() -> int | None:
@@ -37,9 +47,48 @@
     threading.stack_size(THREAD_STACK_BYTES)
     import ctypes  # takes memory that other processes don't need
 
-    mallopt = getattr(ctypes.CDLL(None), "mallopt", None)
+    library = ctypes.CDLL(None)
+    mallopt = getattr(library, "mallopt", None)
     if mallopt is not None:  # not every C library has it
         mallopt(MALLOPT_ARENA_MAX, 1)
+    reclaimer.trim = getattr(library, "malloc_trim", None)
+
+
+class Reclaimer:
+    """Gives back what the process no longer uses, at most once in RECLAIM_INTERVAL_US.
+
+    :ivar trim: malloc_trim(3), if the C library has it.
+    """
+
+    def __init__(self) -> None:
+        self.trim: Callable[[int], object] | None = None
+        self.reclaimed_at = -RECLAIM_INTERVAL_US
+        self.log_used_up: CountedEvent | None = None
+
+    def report_to(self, log: Callable[..., None]) -> None:
+        """Log when the address space is used up."""
+        self.log_used_up = CountedEvent(log, log_events.ADDRESS_SPACE_USED_UP, LOG_INTERVAL_US)
+
+    def reclaim(self) -> bool:
+        """Give memory back, and return whether that was tried now."""
+        now = monotonic_us()
+        if now - self.reclaimed_at < RECLAIM_INTERVAL_US:
+            return False
+        gc.collect()
+        if self.trim is not None:
+            self.trim(0)
+        self.reclaimed_at = monotonic_us()
+        return True
+
+    def report(self) -> None:
+        """Log that something was refused."""
+        if self.log_used_up is not None:
+            self.log_used_up.count(
+                "refused", monotonic_us(), reserved=reserved_bytes(), limit=LIMIT_BYTES
+            )
+
+
+reclaimer = Reclaimer()
 
 
 def usable_bytes(thread_count: int) -> int | None:
@@ -49,23 +98,32 @@
     return max(0, LIMIT_BYTES - reserved_bytes() - thread_count * THREAD_STACK_BYTES)
 
 
-def require_headroom() -> None:
-    """Check that the address space is not used up; nothing is checked without a limit.
-
-    :raises MemoryError: less than HEADROOM_BYTES are left.
-    """
-    if LIMIT_BYTES is None:
-        return
+def can_reserve() -> bool:
+    """Return whether HEADROOM_BYTES are left now."""
     try:
         mmap.mmap(-1, HEADROOM_BYTES, mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS).close()
     except OSError:
-        raise MemoryError(f"address space of {LIMIT_BYTES} bytes is used up") from None
+        return False
+    return True
 
 
 def has_headroom() -> bool:
-    """Return whether `require_headroom` succeeds."""
-    try:
-        require_headroom()
-    except MemoryError:
-        return False
-    return True
+    """Return whether the address space is not used up; what isn't used is given back before it is.
+
+    Nothing is checked without a limit.
+    """
+    if LIMIT_BYTES is None or can_reserve():
+        return True
+    if reclaimer.reclaim() and can_reserve():
+        return True
+    reclaimer.report()
+    return False
+
+
+def require_headroom() -> None:
+    """Check that the address space is not used up; nothing is checked without a limit.
+
+    :raises MemoryError: less than HEADROOM_BYTES are left.
+    """
+    if not has_headroom():
+        raise MemoryError(f"address space of {LIMIT_BYTES} bytes is used up")
--- a/packages/runtime/meadowdock/runtime/client_memory.py
+++ b/packages/runtime/meadowdock/runtime/client_memory.py
@@ -7,11 +7,11 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable
 from typing import Protocol
 
 from meadowdock.logs import events as log_events
+from meadowdock.logs.counted_event import CountedEvent
 from meadowdock.runtime.clock import SECOND, monotonic_us
 
 MEGABYTE = 1_000_000  # bytes
@@ -96,11 +96,10 @@
 
     def __init__(self, memory_mb: int | None, log: Callable[..., None] | None = None) -> None:
         self.limit = None if memory_mb is None else int(memory_mb * MEGABYTE * MEMORY_SHARE)
-        self.log = log
         self.total = self.given_up = 0
         self.entries: set[MemoryEntry] = set()
         self.is_relieving = False
-        self.unlogged, self.logged_at = Counter[str](), 0
+        self.log_given_up = CountedEvent(log, log_events.CLIENTS_GIVEN_UP, LOG_INTERVAL_US)
 
     def open(self, client: Client) -> MemoryEntry:
         """Return an entry for a connection."""
@@ -176,10 +175,4 @@
 
     def report(self, reason: str) -> None:
         """Log how many connections were given up, at most once in LOG_INTERVAL_US."""
-        self.unlogged[reason] += 1
-        now = monotonic_us()
-        if self.log is not None and now - self.logged_at >= LOG_INTERVAL_US:
-            self.logged_at = now
-            counts = dict(self.unlogged)
-            self.unlogged.clear()
-            self.log(log_events.CLIENTS_GIVEN_UP, why=counts, held=self.total, limit=self.limit)
+        self.log_given_up.count(reason, monotonic_us(), held=self.total, limit=self.limit)
