--- a/packages/runtime/meadowdock/runtime/address_space.py
+++ b/packages/runtime/meadowdock/runtime/address_space.py
@@ -8,15 +8,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import gc
 import mmap
 import resource
 import threading
+import time
 from collections.abc import Callable
 
 from meadowdock.logs import events as log_events
 from meadowdock.logs.counted_event import CountedEvent
-from meadowdock.runtime.clock import SECOND, monotonic_us
+from meadowdock.runtime.clock import SECOND
 
 HEADROOM_BYTES = 8 << 20  # more than the parsing of one read takes
 THREAD_STACK_BYTES = 2 << 20
@@ -54,6 +56,11 @@
     reclaimer.trim = getattr(library, "malloc_trim", None)
 
 
+def now_us() -> int:
+    """Return the time on the machine's monotonic clock, also outside of the event loop."""
+    return time.monotonic_ns() // 1000
+
+
 class Reclaimer:
     """Gives back what the process no longer uses, at most once in RECLAIM_INTERVAL_US.
 
@@ -62,7 +69,7 @@
 
     def __init__(self) -> None:
         self.trim: Callable[[int], object] | None = None
-        self.reclaimed_at = -RECLAIM_INTERVAL_US
+        self.reclaimed_at = now_us() - RECLAIM_INTERVAL_US
         self.log_used_up: CountedEvent | None = None
 
     def report_to(self, log: Callable[..., None]) -> None:
@@ -71,20 +78,22 @@
 
     def reclaim(self) -> bool:
         """Give memory back, and return whether that was tried now."""
-        now = monotonic_us()
+        now = now_us()
         if now - self.reclaimed_at < RECLAIM_INTERVAL_US:
             return False
         gc.collect()
         if self.trim is not None:
             self.trim(0)
-        self.reclaimed_at = monotonic_us()
+        self.reclaimed_at = now_us()
         return True
 
     def report(self) -> None:
-        """Log that something was refused."""
-        if self.log_used_up is not None:
+        """Log that something was refused, unless there is no memory left for that either."""
+        if self.log_used_up is None:
+            return
+        with contextlib.suppress(MemoryError, OSError):
             self.log_used_up.count(
-                "refused", monotonic_us(), reserved=reserved_bytes(), limit=LIMIT_BYTES
+                "refused", now_us(), reserved=reserved_bytes(), limit=LIMIT_BYTES
             )
 
 
--- a/tests/process/test_limits_of_memory.py
+++ b/tests/process/test_limits_of_memory.py
@@ -11,6 +11,7 @@
 import trio
 
 from meadowdock.logs import Log
+from meadowdock.logs import events as log_events
 from meadowdock.process import runner
 from meadowdock.process.failure import ProcessFailure
 from meadowdock.runtime import Disk
@@ -64,3 +65,42 @@
     monkeypatch.setattr(trio._core._thread_cache.THREAD_CACHE, "_idle_workers", {})
     with pytest.raises(OSError, match="can't start new thread"):
         trio.run(Disk(str(tmp_path)).write, "name", b"data")
+
+
+SERVE_AGAIN_AFTER_THE_ADDRESS_SPACE_WAS_USED_UP = f"""
+import gc
+import resource
+resource.setrlimit(resource.RLIMIT_AS, ({LIMIT_MB} << 20, {LIMIT_MB} << 20))
+from meadowdock.runtime import address_space
+address_space.reserve_less_for_threads()
+events = []
+address_space.reclaimer.report_to(lambda number, **fields: events.append((number, fields["why"])))
+gc.disable()
+
+
+class Cycle:
+    def __init__(self):
+        self.itself, self.data = self, bytearray(1 << 20)
+
+
+held = []
+try:
+    while True:
+        held.append(Cycle())
+except MemoryError:
+    pass
+refused = not address_space.has_headroom()
+address_space.reclaimer.reclaimed_at -= address_space.RECLAIM_INTERVAL_US
+held.clear()
+print(refused, events, address_space.has_headroom())
+"""
+
+
+def test_process_that_refuses_for_ever_as_nothing_runs_the_garbage_collector():
+    done = subprocess.run(
+        [sys.executable, "-c", SERVE_AGAIN_AFTER_THE_ADDRESS_SPACE_WAS_USED_UP],
+        capture_output=True,
+        text=True,
+    )
+    expected = f"True [({log_events.ADDRESS_SPACE_USED_UP}, {{'refused': 1}})] True"
+    assert (done.returncode, done.stdout.strip()) == (0, expected), done.stderr
