An endpoint's answer is bounded by kind, and in the account until it is complete

Seen by callers: a proxy kept all that a faulty endpoint sent (up to 3.6 GB with six callers) and ended; short header lines took six times their bytes; empty lines, interim answers, a reason, trailers, chunk extensions and zeros of a length were read until the deadline. Cause: the parser bounded the body alone, no byte was in the account, and parser, callbacks and connection referred to each other, so that what had ended waited for the garbage collector.

--- a/packages/forwarding/meadowdock/forwarding/dispatcher.py
+++ b/packages/forwarding/meadowdock/forwarding/dispatcher.py
@@ -32,7 +32,10 @@
 from meadowdock.forwarding.reactor import NEVER_US
 from meadowdock.forwarding.retries import RetryPolicy, final_outcome, rejection_for_peer
 from meadowdock.load_sharing import LOCAL, Choice
-from meadowdock.runtime import monotonic_us
+from meadowdock.logs import events as log_events
+from meadowdock.logs.counted_event import CountedEvent
+from meadowdock.runtime import SECOND, monotonic_us
+from meadowdock.runtime.client_memory import ClientMemory
 
 if TYPE_CHECKING:
     from meadowdock.forwarding.dialect import Dialect
@@ -40,6 +43,7 @@
     from meadowdock.forwarding.reactor import Reactor
 
 QUEUE_PEERS_MAX = 2  # how many peers at most are asked to queue a call
+REFUSAL_LOG_INTERVAL_US = SECOND
 TRIED_PEERS_MAX = 3  # after this many peers without capacity a call is queued or rejected
 
 
@@ -63,7 +67,12 @@
         placement: ZonePlacement,
         retries: RetryPolicy,
         log: Logger,
+        memory: ClientMemory | None = None,
     ) -> None:
+        self.memory = memory or ClientMemory(None)
+        self.log_refusal = CountedEvent(
+            log, log_events.ENDPOINT_ANSWER_REFUSED, REFUSAL_LOG_INTERVAL_US
+        )
         self.network, self.reactor, self.registry = network, reactor, registry
         self.dialect, self.log = dialect, log
         self.placement, self.loads, self.retries = placement, placement.loads, retries
--- a/packages/forwarding/meadowdock/forwarding/exceptions.py
+++ b/packages/forwarding/meadowdock/forwarding/exceptions.py
@@ -22,6 +22,13 @@
         self.status = status
 
 
+class MalformedResponse(ValueError):
+    """Raised in a parser's callbacks when an endpoint's response is ambiguous.
+
+    The request may have run.
+    """
+
+
 class ResponseTooLarge(ValueError):
     """Raised in a parser's callbacks when an endpoint's response exceeds the limit.
 
--- a/packages/forwarding/meadowdock/forwarding/gateway.py
+++ b/packages/forwarding/meadowdock/forwarding/gateway.py
@@ -78,10 +78,10 @@
         )
         self.loads = self.placement.loads
         self.retries = RetryPolicy(lambda: retry_budgets.new_retry_budget(self))
+        self.memory = memory or ClientMemory(settings.memory_mb, log)
         self.dispatcher = Dispatcher(
-            network, reactor, registry, dialect, self.placement, self.retries, log
+            network, reactor, registry, dialect, self.placement, self.retries, log, self.memory
         )
-        self.memory = memory or ClientMemory(settings.memory_mb, log)
         peer_limits = peer_limits or PeerLimits(settings.descriptors, self.memory)
         self.peers = Peers(self.dispatcher, network, settings, rng, log, self.memory, peer_limits)
         self.dispatcher.peer_calls.peers = self.peers
--- a/packages/forwarding/meadowdock/forwarding/http.py
+++ b/packages/forwarding/meadowdock/forwarding/http.py
@@ -1,4 +1,4 @@
-"""Parses HTTP/1.1 requests of callers and responses of endpoints with httptools. No I/O.
+"""Parses HTTP/1.1 requests of callers with httptools, and encodes heads. No I/O.
 
 Bytes are fed to a parser, which collects complete messages. Messages that two recipients could
 interpret differently (request smuggling; RFC 9112, sections 6.3 and 11.2) are rejected.
@@ -13,8 +13,9 @@
 
 import httptools
 
-from meadowdock.forwarding.exceptions import RequestRejected, ResponseTooLarge
-from meadowdock.runtime.address_space import has_headroom, require_headroom
+from meadowdock.forwarding.exceptions import RequestRejected
+from meadowdock.runtime.address_space import has_headroom
+from meadowdock.runtime.body_buffer import BodyBuffer
 from meadowdock.runtime.client_memory import HEADER_LINE_MEMORY_BYTES
 from meadowdock.runtime.http_messages import REQUEST_STEPS
 
@@ -76,38 +77,6 @@
     ]
 
 
-class BodyBuffer:
-    """Collects the parts of a body; a large one is stored only once.
-
-    Invariant: size is the number of bytes; joined is None as long as there is one part at most.
-    """
-
-    __slots__ = ("first", "joined", "size")
-
-    def __init__(self) -> None:
-        self.first = b""
-        self.joined: bytearray | None = None
-        self.size = 0
-
-    def append(self, part: bytes) -> None:
-        """Add a part."""
-        if self.joined is not None:
-            self.joined += part
-        elif not self.size:
-            self.first = part
-        else:
-            self.joined = bytearray(self.first)
-            self.joined += part
-            self.first = b""
-        self.size += len(part)
-
-    def take(self) -> bytes | bytearray:
-        """Return the body."""
-        if self.joined is None:
-            return self.first
-        return self.joined
-
-
 class RequestParser:
     """Parses the bytes from one caller into requests.
 
@@ -292,111 +261,6 @@
         return RequestRejected(status)
 
 
-@dataclass(slots=True)
-class Response:
-    """One complete response."""
-
-    status: int
-    lines: list[HeaderLine]  # end-to-end headers without Content-Length
-    mesh_headers: dict[bytes, bytes]  # the dialect's headers in it, by lower-case name
-    body: bytes | bytearray
-    keep_alive: bool
-    keep_alive_s: int | None  # the idle time-out that the endpoint announced, or None
-
-
-class ResponseParser:
-    """Parses the bytes from one endpoint into responses.
-
-    Invariants: complete holds complete responses, in order; malformed is set for good once the bytes
-    are not a valid response; in_progress is set while a response is incomplete.
-    """
-
-    def __init__(self, mesh_header_names: Collection[bytes], body_bytes_max: int) -> None:
-        self.mesh_header_names, self.body_bytes_max = mesh_header_names, body_bytes_max
-        self.parser = httptools.HttpResponseParser(self)
-        self.complete: list[Response] = []
-        self.in_progress = self.malformed = self.in_head = False
-        self.for_head_request = False  # a response to HEAD has no body, whatever its headers say
-
-    def feed(self, data: bytes) -> None:
-        """Parse more bytes; `complete` and `malformed` have the result.
-
-        :raises MemoryError: the address space is used up.
-        """
-        require_headroom()
-        try:
-            self.parser.feed_data(data)
-        except PARSER_ERRORS:
-            self.malformed = True
-
-    def on_message_begin(self) -> None:
-        """Start a new response."""
-        self.in_progress = self.in_head = True
-        self.lines: list[HeaderLine] = []
-        self.body = BodyBuffer()
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header line; trailers are ignored."""
-        if self.in_head:
-            self.lines.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """End the head; without a body this also completes the response."""
-        self.in_head = False
-        if self.for_head_request:
-            self.response_complete(False)
-
-    def on_body(self, body: bytes) -> None:
-        """Append a part of the body."""
-        self.body.append(body)
-        if self.body.size > self.body_bytes_max:
-            raise ResponseTooLarge(self.body_bytes_max)
-
-    def on_message_complete(self) -> None:
-        """Complete the response."""
-        if self.in_progress and not self.for_head_request:
-            self.response_complete(self.parser.should_keep_alive())
-
-    def response_complete(self, keep_alive: bool) -> None:
-        """Add the response to `complete`, unless it is interim or its end is ambiguous."""
-        self.in_progress = False
-        status = self.parser.get_status_code()
-        if status < 200:
-            return
-        mesh_headers: dict[bytes, bytes] = {}
-        keep_alive_s = None
-        framed = status in STATUSES_WITHOUT_BODY or self.for_head_request
-        for name, value in self.lines:
-            lower_name = name.lower()
-            if lower_name in self.mesh_header_names:
-                if mesh_headers.setdefault(lower_name, value) != value:
-                    self.malformed = True  # different values of a repeated header are ambiguous
-                    return
-            elif lower_name in (b"content-length", b"transfer-encoding"):
-                framed = True
-            elif lower_name == b"keep-alive":
-                keep_alive_s = keep_alive_timeout(value)
-        if not framed:
-            self.malformed = True  # without a length it may be truncated
-            return
-        body, self.body = self.body.take(), BodyBuffer()
-        lines = end_to_end(self.lines)
-        self.complete.append(Response(status, lines, mesh_headers, body, keep_alive, keep_alive_s))
-
-
-def keep_alive_timeout(value: bytes) -> int | None:
-    """Return the time-out in seconds of a Keep-Alive header, or None if it has none.
-
-    >>> keep_alive_timeout(b"timeout=10, max=5"), keep_alive_timeout(b"max=5")
-    (10, None)
-    """
-    for parameter in value.split(b","):
-        name, _, number = parameter.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.isdigit():
-            return int(number)
-    return None
-
-
 def request_head(method: bytes, target: bytes, lines: Iterable[HeaderLine]) -> bytes:
     """Return the request line and the header lines, without the blank line."""
     return b"%s %s HTTP/1.1\r\n%s" % (method, target, encoded_lines(lines))
@@ -410,10 +274,3 @@
 def status_line(status: int) -> bytes:
     """Return the first line of a response."""
     return b"HTTP/1.1 %d %s\r\n" % (status, REASON_PHRASES.get(status, b"Unknown"))
-
-
-def response_head(response: Response, for_head_request: bool = False) -> bytes:
-    """Return the status line and the header lines with the body's length, without the blank line."""
-    has_length = not for_head_request and response.status not in STATUSES_WITHOUT_BODY
-    length = b"Content-Length: %d\r\n" % len(response.body) if has_length else b""
-    return status_line(response.status) + encoded_lines(response.lines) + length
--- a/packages/forwarding/meadowdock/forwarding/outcome_codes.py
+++ b/packages/forwarding/meadowdock/forwarding/outcome_codes.py
@@ -20,3 +20,4 @@
 CONNECTION_LOST = "lost"
 BAD_ANSWER = "bad_answer"  # the response may belong to another request, or is inconclusive
 TOO_LARGE = "too_large"  # the response is larger than a peer can send back
+NO_MEMORY = "no_memory"  # the response was given up, as its memory is needed
--- a/packages/forwarding/meadowdock/forwarding/response_check.py
+++ b/packages/forwarding/meadowdock/forwarding/response_check.py
@@ -10,7 +10,8 @@
 from enum import Enum
 
 from meadowdock.forwarding.dialect import Dialect
-from meadowdock.forwarding.http import HeaderLine, Response
+from meadowdock.forwarding.http import HeaderLine
+from meadowdock.forwarding.response_parser import Response
 
 
 class Verdict(Enum):
--- a/packages/forwarding/meadowdock/forwarding/upstream.py
+++ b/packages/forwarding/meadowdock/forwarding/upstream.py
@@ -1,4 +1,7 @@
-"""Connections to the endpoints on this machine; each carries one call at a time."""
+"""Connections to the endpoints on this machine; each carries one call at a time.
+
+A response is bounded by kind while it arrives, and in the account of the process until it is complete.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +10,6 @@
 
 from meadowdock.forwarding.byte_parts import Bytes, joined_parts
 from meadowdock.forwarding.call import Call, Served
-from meadowdock.forwarding.http import Response, ResponseParser, response_head
 from meadowdock.forwarding.outcome_codes import (
     BAD_ANSWER,
     BUSY,
@@ -15,6 +17,7 @@
     DEADLINE_PASSED,
     NO_ANSWER,
     NO_ENDPOINT,
+    NO_MEMORY,
 )
 from meadowdock.forwarding.response_check import (
     FOREIGN,
@@ -22,13 +25,22 @@
     OTHER_INSTANCE,
     VALID,
     ResponseCheck,
+    Verdict,
     reported_load,
 )
+from meadowdock.forwarding.response_parser import (
+    Response,
+    ResponseParser,
+    length_line,
+    response_head,
+)
 from meadowdock.runtime import MILLISECOND, SECOND, monotonic_us
+from meadowdock.runtime.http_messages import COSTLY_STEPS
 
 if TYPE_CHECKING:
     from meadowdock.forwarding.interfaces import Connection, Endpoint
     from meadowdock.forwarding.local_calls import LocalCalls
+    from meadowdock.runtime.client_memory import MemoryEntry
 
 KEEP_ALIVE_US = 8 * SECOND  # the idle time-out if the endpoint does not announce one
 # An idle connection is used no longer than until this time before the end of the announced idle
@@ -44,12 +56,24 @@
 class UpstreamConnection:
     """One connection to an endpoint.
 
-    Invariants: call is the one that was sent and not yet answered; answered_ids holds the ids of
-    the latest calls before it, whose duplicate responses may still arrive; a connection is in its
-    pool's idle list iff it is open, can be reused and has no call.
+    Invariants: call is the one that was sent and whose response has not been read to its end;
+    answered_ids holds the ids of the latest calls before it, whose duplicate responses may still
+    arrive; a connection is in its pool's idle list iff it is open, can be reused and has no call;
+    memory is not None iff there is a call that was sent.
+
+    :ivar is_costly: what was read last was costly to parse.
     """
 
-    __slots__ = ("pool", "connection", "responses", "call", "answered_ids", "idle_until")
+    __slots__ = (
+        "pool",
+        "connection",
+        "responses",
+        "call",
+        "answered_ids",
+        "idle_until",
+        "memory",
+        "is_costly",
+    )
 
     def __init__(self, pool: UpstreamPool, call: Call) -> None:
         self.pool = pool
@@ -58,6 +82,8 @@
         self.answered_ids: deque[bytes] = deque(maxlen=ANSWERED_IDS_MAX)
         self.responses = ResponseParser(pool.check.mesh_header_names, RESPONSE_BODY_MAX_BYTES)
         self.idle_until = 0
+        self.memory: MemoryEntry | None = None
+        self.is_costly = False
 
     def on_open(self, connection: Connection) -> None:
         """Report the open connection to the pool."""
@@ -73,7 +99,8 @@
         """Send a call to the endpoint."""
         assert self.connection is not None
         self.call = call
-        self.responses.for_head_request = call.is_head
+        self.memory = self.pool.dispatcher.memory.open(self)
+        self.responses.expect(call.is_head)
         for part in joined_parts(self.pool.request_parts(call)):
             self.connection.send(part)
 
@@ -84,15 +111,46 @@
             self.drop()  # bytes that belong to no call
             return
         responses.feed(data)
+        self.is_costly = responses.bounds.step_count > COSTLY_STEPS
         response = self.next_response()
         if response is not None:
-            self.call = None
+            self.release_call()
             self.answered_ids.append(call.id)
             self.pool.on_response(self, call, response)
         elif responses.malformed:
-            self.call = None
+            self.pool.report_refusal(responses.refusal)
+            self.release_call()
             self.drop()
             self.pool.dispatcher.on_outcome_unknown(call, BAD_ANSWER)
+        else:
+            self.account_for(len(data))
+
+    def account_for(self, received: int) -> None:
+        """Enter what is held of the response into the account; this connection may be given up."""
+        assert self.memory is not None
+        self.memory.received(received, is_complete=False)
+        self.memory.resize(self.responses.held_bytes)
+        self.memory.memory.relieve()
+
+    def may_be_given_up(self) -> bool:
+        """Return whether the response is incomplete."""
+        return self.call is not None
+
+    def give_up(self) -> None:
+        """Close the connection, as the memory of the response is needed."""
+        call = self.call
+        self.pool.report_refusal("no memory for it")
+        self.release_call()
+        self.drop()
+        if call is not None:
+            self.pool.dispatcher.on_outcome_unknown(call, NO_MEMORY)
+
+    def release_call(self) -> None:
+        """Forget the call, and what its response took of the account."""
+        self.call = None
+        if self.memory is not None:
+            self.memory.close()
+            self.memory = None
 
     def next_response(self) -> Response | None:
         """Return the next response, skipping duplicate responses to earlier calls."""
@@ -111,17 +169,23 @@
 
     def on_end(self, cause: object) -> None:
         """Report the outcome of the call as unknown after the connection has ended."""
-        self.pool.discard(self)
-        call, self.call = self.call, None
+        call = self.call
+        self.release_call()
+        self.discard()
         if call is not None:
             self.pool.dispatcher.on_outcome_unknown(call, CONNECTION_LOST)
 
     def drop(self) -> None:
         """Close the connection."""
-        self.pool.discard(self)
+        self.discard()
         if self.connection is not None:
             self.connection.close()
 
+    def discard(self) -> None:
+        """Remove the connection from the pool, and release what was parsed."""
+        self.pool.discard(self)
+        self.responses.discard()
+
 
 class UpstreamPool:
     """The connections to one endpoint.
@@ -205,26 +269,43 @@
         ]
 
     def on_response(self, upstream: UpstreamConnection, call: Call, response: Response) -> None:
-        """Handle a response, after checking that it belongs to the call and whether the call ran."""
-        now = monotonic_us()
+        """Handle a complete response."""
+        self.reuse_or_close(upstream, call, response, monotonic_us())
+        if self.check_response(upstream, call, response) is VALID:
+            self.local_calls.on_answered(call, self.served(call, response))
+
+    def check_response(
+        self, upstream: UpstreamConnection, call: Call, response: Response
+    ) -> Verdict:
+        """Check that a response belongs to the call and whether the call ran.
+
+        If there is none to pass on, the call is placed again or ends.
+        """
         load = reported_load(response.mesh_headers.get(self.load_name))
         if load is not None:
-            self.endpoint.reported_load, self.endpoint.reported_load_at = load, now
-        self.reuse_or_close(upstream, call, response, now)
+            self.endpoint.reported_load, self.endpoint.reported_load_at = load, monotonic_us()
         verdict = self.check.verdict(response, call.id, len(upstream.answered_ids) == 1)
-        if verdict is VALID:
-            response.lines = self.check.lines_for_caller(response, call.id)
-            head = response_head(response, call.is_head)
-            self.local_calls.on_answered(call, Served(head, response.body, response.status))
-        elif verdict is NOT_RUN:
+        if verdict is NOT_RUN:
             self.local_calls.on_not_run(call, BUSY)
         elif verdict is OTHER_INSTANCE:
             self.local_calls.on_other_instance(self.endpoint)
             self.local_calls.on_not_run(call, NO_ENDPOINT)
-        else:
+        elif verdict is not VALID:
             if verdict is FOREIGN:
                 upstream.drop()
             self.dispatcher.on_outcome_unknown(call, BAD_ANSWER)
+        return verdict
+
+    def served(self, call: Call, response: Response) -> Served:
+        """Return the outcome of a call whose response is valid."""
+        response.lines = self.check.lines_for_caller(response, call.id)
+        head = response_head(response) + length_line(response, call.is_head)
+        return Served(head, response.body, response.status)
+
+    def report_refusal(self, cause: str) -> None:
+        """Log and count that the endpoint's response can't be passed on, or not to its end."""
+        self.dispatcher.counts["endpoint.refused_answer"] += 1
+        self.dispatcher.log_refusal.count(cause, monotonic_us(), address=self.endpoint.address)
 
     def reuse_or_close(
         self, upstream: UpstreamConnection, call: Call, response: Response, now: int
@@ -254,7 +335,7 @@
         """
         for upstream in self.connections:
             if upstream.call is call:
-                upstream.call = None
+                upstream.release_call()
                 upstream.drop()
                 return True
         return False
--- a/packages/logs/meadowdock/logs/catalogue.py
+++ b/packages/logs/meadowdock/logs/catalogue.py
@@ -102,6 +102,10 @@
         "service_overloaded",
         "requests of a service found no capacity in the last second: figures of this node",
     ),
+    log_events.ENDPOINT_ANSWER_REFUSED: EventKind(
+        "endpoint_answer_refused",
+        "answers of an endpoint were no HTTP, beyond a bound, or broken off: says why, and how many",
+    ),
     log_events.CONFIGURATION_STAGED: EventKind(
         "configuration_staged", "a newer configuration is complete and validated here"
     ),
--- a/tests/forwarding/test_gateway_http.py
+++ b/tests/forwarding/test_gateway_http.py
@@ -8,7 +8,8 @@
 
 from meadowdock.configuration.items import DEFAULT_LIMITS
 from meadowdock.forwarding.downstream import KEEP_ALIVE_US
-from meadowdock.forwarding.http import RequestParser, ResponseParser
+from meadowdock.forwarding.http import RequestParser
+from meadowdock.forwarding.response_parser import ResponseParser
 from meadowdock.runtime import MILLISECOND, SECOND, monotonic_us, sleep_us
 
 HEAD_LINES = b"Host: h.example\r\nmd-call: raw-1\r\n"
--- a/tests/forwarding/test_response_check.py
+++ b/tests/forwarding/test_response_check.py
@@ -5,7 +5,6 @@
 import pytest
 
 from meadowdock.forwarding.dialect import Dialect
-from meadowdock.forwarding.http import Response
 from meadowdock.forwarding.response_check import (
     FOREIGN,
     NOT_RUN,
@@ -14,6 +13,7 @@
     VALID,
     ResponseCheck,
 )
+from meadowdock.forwarding.response_parser import Response
 
 OWN_ID = {b"md-call": b"c-1"}
 NOT_RUN_ID = {**OWN_ID, b"md-not-run": b"1"}
