A large answer is passed on while it arrives, also from another machine

Seen by callers: sound answers of 60 MB, within the limits, were broken off two at once and ended mdproxy six at once (371 MB); from another machine each was answered 502 after the endpoint had run it. Cause: an answer was held whole until its end, copied to a frame, sealed, joined, and a frame has 32 MiB. Now an answer over 256 KiB is checked at its head and passed on while it arrives (forwarding/answer_stream.py); the endpoint isn't read while the caller doesn't take what was read, and a peer sends as much as it has credit for (forwarding/peer_answers.py). What breaks off closes the caller's connection, so that it never looks complete. A short answer, and so a retry, is as before. A peer of the previous version, which doesn't announce that it reads parts, and a caller of HTTP/1.0 get the answer whole.

--- a/packages/forwarding/meadowdock/forwarding/call.py
+++ b/packages/forwarding/meadowdock/forwarding/call.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from meadowdock.forwarding.answer_stream import AnswerStream
     from meadowdock.forwarding.interfaces import Endpoint
     from meadowdock.forwarding.peer_link import OutgoingLink
     from meadowdock.forwarding.reactor import Timer
@@ -15,11 +16,14 @@
 
 
 class Served(NamedTuple):
-    """The request ran: an endpoint's complete and checked response."""
+    """The request ran: an endpoint's checked response, complete unless there is a rest of it."""
 
-    head: bytes  # status line and header lines, without the blank line
+    head: (
+        bytes  # status line and header lines, without the blank line; with a rest, without framing
+    )
     body: bytes | bytearray
     status: int
+    rest: AnswerStream | None = None  # of the body
 
 
 class Rejected(NamedTuple):
@@ -47,7 +51,8 @@
     Invariants: deadline never changes; `on_outcome` is called once and is None afterwards; attempts
     counts how often any byte of the request may have reached an endpoint; once may_have_run is True
     the outcome is not Rejected; the call holds a slot of `endpoint` iff that is not None; it is in
-    one place at a time: in `queue`, at `endpoint` or on `peer_link`.
+    one place at a time: in `queue`, at `endpoint` or on `peer_link`, and stays there after its outcome
+    until `stream`, the rest of its answer, has ended.
     """
 
     id: bytes  # as the caller sent it
@@ -86,6 +91,7 @@
     peer_link: OutgoingLink | None = None
     dispatched_at: int = 0  # when it was sent to its current endpoint or peer
     peer_handle: Handle | None = None  # identifies it on peer_link
+    stream: AnswerStream | None = None
 
     def stop_timer(self) -> None:
         """Cancel the timer of the queue, endpoint or peer at which the call is now."""
--- a/packages/forwarding/meadowdock/forwarding/dispatcher.py
+++ b/packages/forwarding/meadowdock/forwarding/dispatcher.py
@@ -50,9 +50,9 @@
 class Dispatcher:
     """Handles all calls of this node, those of local callers and those that peers relocated here.
 
-    Invariants: calls holds every call that arrived or was relocated here and has no outcome yet; a
-    call is in one place at a time: in a queue, at a local endpoint, or at a peer; once `taking` is
-    False, calls only shrinks.
+    Invariants: calls holds every call that arrived or was relocated here and has no outcome yet, or
+    whose answer is still passed on; a call is in one place at a time: in a queue, at a local endpoint,
+    or at a peer; once `taking` is False, calls only shrinks.
 
     :ivar taking: whether new calls are taken, of callers and of peers
     :ivar last_peer_deadline: us, monotonic clock; new calls of peers with a later deadline are rejected
@@ -245,6 +245,8 @@
         A call that has not started is dropped, and an idempotent one is aborted. Any other call runs to
         its end.
         """
+        if call.stream is not None:
+            call.stream.cancel()
         if call.on_outcome is None:
             return
         call.cancelled = True
@@ -263,7 +265,9 @@
         """
         self.taking = False
         for call in sorted(self.calls, key=lambda each: each.queue is None):
-            if call.on_outcome is not None:
+            if call.stream is not None:
+                call.stream.abort(STOPPING)
+            elif call.on_outcome is not None:
                 self.end(call)
 
     def end(self, call: Call) -> None:
@@ -299,6 +303,26 @@
             self.count_failure(call, outcome)
         on_outcome(outcome)
 
+    def begin_answer(self, call: Call, served: Served) -> None:
+        """Report an answer whose rest is still arriving; the call stays where it is until then."""
+        assert served.rest is not None
+        on_outcome, call.on_outcome = call.on_outcome, None
+        if on_outcome is None:
+            served.rest.cancel()
+            return
+        call.stream = served.rest
+        self.counts[f"answer.{served.status // 100}xx"] += 1
+        self.counts["answer.streamed"] += 1
+        on_outcome(served)
+
+    def end_answer(self, call: Call, cause: str = "") -> None:
+        """Forget a call whose answer was passed on to its end, or has broken off for a cause."""
+        call.stream = None
+        call.stop_timer()
+        self.calls.discard(call)
+        if cause:
+            self.counts[f"answer.broken.{cause}"] += 1
+
     def count_failure(self, call: Call, outcome: Rejected | OutcomeUnknown) -> None:
         """Count a call that got no response of an endpoint."""
         rejected = isinstance(outcome, Rejected)
--- a/packages/forwarding/meadowdock/forwarding/downstream.py
+++ b/packages/forwarding/meadowdock/forwarding/downstream.py
@@ -1,4 +1,7 @@
-"""A caller's connection: reads requests and sends responses in the same order."""
+"""A caller's connection: reads requests and sends responses in the same order.
+
+A long answer is sent while it arrives; what it comes from isn't read while the caller doesn't read.
+"""
 
 from __future__ import annotations
 
@@ -8,6 +11,12 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from meadowdock.forwarding.answer_stream import (
+    UNSENT_HIGH_BYTES,
+    UNSENT_LOW_BYTES,
+    AnswerCollector,
+    AnswerStream,
+)
 from meadowdock.forwarding.byte_parts import Bytes, joined_parts
 from meadowdock.forwarding.call import Call, Outcome, Rejected, Served
 from meadowdock.forwarding.http import Request, RequestParser, status_line
@@ -28,6 +37,8 @@
 KEEP_ALIVE_US = KEEP_ALIVE_S * SECOND + 3 * SECOND // 2
 KEEP_ALIVE_LINE = b"Keep-Alive: timeout=%d\r\n\r\n" % KEEP_ALIVE_S
 CLOSE_LINE = b"Connection: close\r\n\r\n"
+CHUNKED_LINE = b"Transfer-Encoding: chunked\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 NO_MEMORY = "no memory for the body now"
 NO_CONNECTION = "no connection for the request now"
@@ -35,25 +46,50 @@
 CALL_MEMORY_BYTES = 4096  # of the objects of a request that runs, beside its head and its body
 # A connection that holds more than this for requests in progress is not read until some are answered.
 PIPELINE_MAX_BYTES = 1 << 18
+RESPONSE_BODY_MAX_BYTES = 64 << 20  # of what is collected for a caller
 BLOCKED_WRITE_TIMEOUT_US = 10 * SECOND  # a caller that reads nothing for this long is disconnected
 
 
 class PendingAnswer:
     """The response to one request, which is sent after those to all earlier requests.
 
-    Invariants: data is None until there is a response; call is None if the request was rejected
-    before it became a call; held_bytes is what the request takes of the process's memory; to_head
-    is whether its method is HEAD, so that the response has no body.
+    Invariants: data is None until there is a response, and once it is being sent; rest is what follows
+    `data` of a long response; call is None if the request was rejected before it became a call;
+    held_bytes is what the request, and its response while it waits, take of the process's memory.
+
+    :ivar close: whether the connection is closed after the response.
+    :ivar to_head: whether the method is HEAD, so that the response has no body.
+    :ivar reads_chunks: the response may come in chunks.
     """
 
-    __slots__ = ("data", "close", "call", "held_bytes", "to_head")
+    __slots__ = ("data", "rest", "close", "call", "held_bytes", "to_head", "reads_chunks")
 
-    def __init__(self, close: bool, held_bytes: int = 0, to_head: bool = False) -> None:
+    def __init__(
+        self,
+        close: bool,
+        held_bytes: int = 0,
+        to_head: bool = False,
+        reads_chunks: bool = True,
+    ) -> None:
         self.data: tuple[bytes, Bytes] | None = None  # head and body
-        self.close = close  # whether the connection is closed after the response
+        self.rest: AnswerStream | None = None
+        self.close = close
         self.call: Call | None = None
         self.held_bytes = held_bytes
-        self.to_head = to_head
+        self.to_head, self.reads_chunks = to_head, reads_chunks
+
+    def framing(self) -> bytes:
+        """Return the header line that frames a long response."""
+        assert self.rest is not None
+        length = self.rest.length
+        return CHUNKED_LINE if length is None else b"Content-Length: %d\r\n" % length
+
+    def framed(self, part: Bytes) -> Bytes:
+        """Return a part of a long response's body as it is sent."""
+        assert self.rest is not None
+        if self.rest.length is not None or not part:
+            return part
+        return b"%x\r\n%b\r\n" % (len(part), bytes(part))
 
 
 class DownstreamConnection:
@@ -191,6 +227,7 @@
             not request.keep_alive,
             CALL_MEMORY_BYTES + request.head_size + len(request.body),
             request.method == b"HEAD",
+            request.reads_chunks,
         )
         if not request.keep_alive:
             self.reading_ended = True
@@ -207,12 +244,36 @@
     def on_outcome(self, pending: PendingAnswer, outcome: Outcome) -> None:
         """Answer a request with the outcome of its call."""
         if isinstance(outcome, Served):
-            self.send(pending, outcome.head, outcome.body)
+            self.on_served(pending, outcome)
         elif isinstance(outcome, Rejected):
             self.send_rejected(pending, outcome)
         else:
             self.send_error(pending, 504 if outcome.code == NO_ANSWER else 502, outcome.code)
 
+    def on_served(self, pending: PendingAnswer, served: Served) -> None:
+        """Answer a request with an endpoint's response."""
+        rest = served.rest
+        if rest is None:
+            self.send(pending, served.head, served.body)
+        elif rest.length is None and not pending.reads_chunks:
+            self.collect(pending, served, rest)
+        else:
+            pending.rest = rest
+            self.send(pending, served.head, served.body)
+
+    def collect(self, pending: PendingAnswer, served: Served, rest: AnswerStream) -> None:
+        """Send a response in chunks to a caller that doesn't read them, once it is complete."""
+        AnswerCollector(
+            rest,
+            served.body,
+            RESPONSE_BODY_MAX_BYTES,
+            self.gateway.memory,
+            lambda body: self.send(
+                pending, served.head + b"Content-Length: %d\r\n" % len(body), body
+            ),
+            lambda cause: self.send_error(pending, 502, cause),
+        )
+
     def answer_rejected(self, request: Request, rejected: Rejected) -> None:
         """Reject a request that did not become a call and may be retried."""
         self.send_rejected(self.add_pending(request), rejected)
@@ -252,30 +313,102 @@
     def send(self, ready: PendingAnswer, head: bytes, body: Bytes) -> None:
         """Store a response and send all responses that are next in order."""
         ready.data = head, body
-        pending = self.pending
-        if pending[0] is not ready:
+        if self.pending[0] is ready:
+            self.send_next()
             return
+        size = len(head) + len(body)
+        ready.held_bytes += size
+        self.pending_bytes += size
+        self.update_memory()
+
+    def send_next(self) -> None:
+        """Send all responses that are next in order, up to one that is still arriving."""
+        pending = self.pending
         out: list[Bytes] = []
         closed = False
+        long_answer: PendingAnswer | None = None
         while pending and (data := pending[0].data) is not None and not closed:
-            answer = pending.popleft()
-            self.pending_bytes -= answer.held_bytes
+            answer = pending[0]
+            self.keep_alive_sent = True
+            if answer.rest is not None:
+                long_answer = answer
+                answer.data = None
+                answer.close = answer.close or (self.gateway.closing and len(pending) == 1)
+                end = CLOSE_LINE if answer.close else KEEP_ALIVE_LINE
+                out += [data[0], answer.framing(), end, answer.framed(data[1])]
+                break
+            self.drop_first()
             closed = answer.close or self.is_last_answer()
             out += [data[0], CLOSE_LINE if closed else KEEP_ALIVE_LINE, data[1]]
-            self.keep_alive_sent = True
         if self.connection.closed:
+            self.cancel_rest(long_answer)
             return
         for part in joined_parts(out):
             self.connection.send(part)
+        self.after_answer(closed)
+        if long_answer is not None and long_answer.rest is not None:
+            self.connection.on_drained = self.on_drained
+            long_answer.rest.attach(self)
+
+    def drop_first(self) -> None:
+        """Remove the first pending answer, which is sent."""
+        self.pending_bytes -= self.pending.popleft().held_bytes
+
+    def after_answer(self, closed: bool) -> None:
+        """Close the connection, or read further requests, after responses were sent."""
         if closed:
             self.finish()
-        elif len(pending) < PENDING_REQUESTS_MAX // 2 and not self.is_busy():
+        elif len(self.pending) < PENDING_REQUESTS_MAX // 2 and not self.is_busy():
             self.connection.resume()
         if not closed:
             self.send_continue()
         self.last_activity_at = monotonic_us()
         self.update_memory()
 
+    def on_part(self, part: Bytes) -> None:
+        """Send a part of a long response; no more of it is read until the caller has taken some."""
+        answer = self.pending[0]
+        self.connection.send(answer.framed(part))
+        self.update_memory()
+        if answer.rest is not None and self.connection.unsent_size > self.unsent_high_bytes():
+            answer.rest.pause()
+
+    def unsent_high_bytes(self) -> int:
+        """Return how much of a long response may wait for the caller."""
+        return UNSENT_LOW_BYTES if self.gateway.memory.is_pressed() else UNSENT_HIGH_BYTES
+
+    def on_drained(self) -> None:
+        """Have a long response read further once the caller has taken enough."""
+        self.memory.begin_request()  # reading is progress
+        self.update_memory()
+        rest = self.pending[0].rest if self.pending else None
+        if rest is not None and self.connection.unsent_size <= self.unsent_high_bytes() // 2:
+            rest.resume()
+
+    def on_complete(self) -> None:
+        """End a long response, and send those behind it."""
+        answer = self.pending[0]
+        if answer.rest is not None and answer.rest.length is None:
+            self.connection.send(LAST_CHUNK)
+        answer.rest = None
+        self.drop_first()
+        self.after_answer(answer.close)
+        if self.pending and not answer.close:
+            self.send_next()
+
+    def on_broken(self, cause: str) -> None:
+        """Close the connection, so that a long response doesn't look complete."""
+        self.pending[0].rest = None
+        self.drop_first()
+        self.finish()
+        self.cancel_pending()
+        self.update_memory()
+
+    def cancel_rest(self, answer: PendingAnswer | None) -> None:
+        """Have the rest of a response not read."""
+        if answer is not None and answer.rest is not None:
+            answer.rest.cancel()
+
     def is_last_answer(self) -> bool:
         """Return whether the connection is closed after this response because of a shutdown.
 
@@ -351,6 +484,10 @@
         self.reading_ended = True
         self.requests.discard()
         self.gateway.forget(self)
+        self.cancel_pending()
+
+    def cancel_pending(self) -> None:
+        """Cancel the calls whose answers can't be sent any more."""
         for pending in list(self.pending):
             if pending.call is not None:
                 self.gateway.dispatcher.cancel(pending.call)
--- a/packages/forwarding/meadowdock/forwarding/http.py
+++ b/packages/forwarding/meadowdock/forwarding/http.py
@@ -56,6 +56,7 @@
     body: bytes | bytearray
     keep_alive: bool
     head_size: int = 0  # bytes
+    reads_chunks: bool = True  # an answer may come in chunks: the caller speaks HTTP/1.1
 
 
 def end_to_end(lines: Collection[HeaderLine]) -> list[HeaderLine]:
@@ -252,6 +253,7 @@
                 body,
                 parser.should_keep_alive(),
                 len(self.url) + self.head_size,
+                parser.get_http_version() != "1.0",
             )
         )
 
--- a/packages/forwarding/meadowdock/forwarding/interfaces.py
+++ b/packages/forwarding/meadowdock/forwarding/interfaces.py
@@ -111,6 +111,7 @@
     unsent_size: int  # bytes that are buffered because the other side does not read
     blocked_since: int  # since when no byte could be sent, 0 if nothing is buffered
     read_paused: Any  # not None while reading is paused
+    on_drained: Callable[[], object] | None  # called whenever buffered bytes could be sent
 
     def send(self, data: Bytes) -> None:
         """Send data now, or buffer it until the other side reads."""
--- a/packages/forwarding/meadowdock/forwarding/local_calls.py
+++ b/packages/forwarding/meadowdock/forwarding/local_calls.py
@@ -63,6 +63,18 @@
         self.free_slot(call, now)
         self.dispatcher.finish(call, served)
 
+    def on_stream_ended(self, call: Call, cause: str) -> None:
+        """Release the slot of a call whose answer was passed on while it arrived.
+
+        :param cause: why it broke off, "" if it arrived to its end.
+        """
+        now = monotonic_us()
+        if not cause:
+            self.admission.observe(call, now - call.dispatched_at)
+        self.call_statistics.count_end(call, now)
+        self.free_slot(call, now)
+        self.dispatcher.end_answer(call, cause)
+
     def on_connect_failed(self, call: Call, endpoint: Endpoint) -> None:
         """Retry or reject a call after no connection to its endpoint could be opened.
 
--- a/packages/forwarding/meadowdock/forwarding/peer_calls.py
+++ b/packages/forwarding/meadowdock/forwarding/peer_calls.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from meadowdock.forwarding.answer_stream import LATE_READER_CHECK_US
 from meadowdock.forwarding.call import Call, OutcomeUnknown, Rejected, Served
 from meadowdock.forwarding.outcome_codes import BUSY, CANCELLED, NO_ANSWER, REJECTED_BY_ENDPOINT
 from meadowdock.load_sharing import NodeLoad
@@ -94,11 +95,22 @@
 
     def on_deadline(self, call: Call) -> None:
         """Give up waiting for the peer's answer after the deadline."""
-        link = call.peer_link
-        if link is not None:
+        link, stream = call.peer_link, call.stream
+        if stream is not None and stream.waits_for_reader(monotonic_us()):
+            call.timer = self.reactor.call_at(
+                monotonic_us() + LATE_READER_CHECK_US, lambda: self.on_deadline(call)
+            )
+        elif stream is not None:
+            stream.abort(NO_ANSWER)
+        elif link is not None:
             link.abandon(call)
             self.dispatcher.on_outcome_unknown(call, NO_ANSWER)
 
+    def on_stream_ended(self, call: Call, cause: str) -> None:
+        """Forget a call whose answer was passed on to its end, or broke off for a cause."""
+        self.detach(call)
+        self.dispatcher.end_answer(call, cause)
+
     def abandon(self, call: Call, link: OutgoingLink) -> bool:
         """Stop waiting for a peer's answer; return whether the call was sent to the peer."""
         sent = not link.is_unsent(call)
--- a/packages/forwarding/meadowdock/forwarding/peer_frames.py
+++ b/packages/forwarding/meadowdock/forwarding/peer_frames.py
@@ -13,6 +13,11 @@
     CANCEL, slot, generation
     PING / PONG
     READS_TARGET                              the sender reads the last two fields of a CALL
+    READS_PARTS                               the sender reads the answers below
+    ANSWER, slot, generation, status, head, beginning of the body, length of the body or nil
+    PART, slot, generation, part of the body
+    END, slot, generation, why the body is not complete or ""
+    CREDIT, slot, generation, bytes           how much more of the body may be sent
 
 Slot and generation are the handle that the opener gave to a call. Deadlines are sent as the remaining
 time in microseconds. Frames of an unknown kind are ignored.
@@ -34,6 +39,7 @@
 
 MAGIC = "mdg1"
 HELLO, PROOF, CALL, SERVED, REJECTED, UNKNOWN, CANCEL, PING, PONG, READS_TARGET = range(10)
+READS_PARTS, ANSWER, PART, END, CREDIT = range(10, 15)
 CALL_MAX_BYTES = MAX_FRAME_SIZE - 65_536  # head and body of a call or of a response
 # The deadline that is sent to a peer is this long before the caller's.
 DEADLINE_MARGIN_US = 15 * MILLISECOND
@@ -56,7 +62,7 @@
         self.partial = bytearray()
         self.wanted = LENGTH_SIZE
 
-    def feed(self, data: bytes) -> Iterator[Frame]:
+    def feed(self, data: bytes | bytearray) -> Iterator[Frame]:
         """Yield the complete and authenticated frames.
 
         Each frame is opened only after the previous one was handled, since that may have changed
@@ -68,7 +74,7 @@
             self.partial += data
             if len(self.partial) < self.wanted:
                 return
-            data, self.partial = bytes(self.partial), bytearray()
+            data, self.partial = self.partial, bytearray()
         start, size = 0, len(data)
         self.wanted = LENGTH_SIZE
         while size - start >= LENGTH_SIZE:
@@ -79,7 +85,8 @@
             if end > size:
                 self.wanted = end - start
                 break
-            body = self.authenticator.open(data[start + LENGTH_SIZE : end])
+            with memoryview(data) as view:
+                body = self.authenticator.open(view[start + LENGTH_SIZE : end])
             if body is None:
                 raise PeerProtocolError(f"frame of {length} bytes fails authentication")
             start = end
--- a/packages/forwarding/meadowdock/forwarding/peer_link.py
+++ b/packages/forwarding/meadowdock/forwarding/peer_link.py
@@ -12,17 +12,29 @@
 
 import ormsgpack
 
+from meadowdock.forwarding.byte_parts import joined_parts
 from meadowdock.forwarding.call import Call, Outcome, Rejected, Served
 from meadowdock.forwarding.exceptions import PeerProtocolError
 from meadowdock.forwarding.outcome_codes import BUSY, CONNECTION_LOST
+from meadowdock.forwarding.peer_answers import (
+    PeerAnswer,
+    RelayedAnswer,
+    begin_peer_answer,
+    collect_for_peer,
+)
 from meadowdock.forwarding.peer_frames import (
+    ANSWER,
     CALL,
     CANCEL,
+    CREDIT,
+    END,
     HELLO,
     MAGIC,
+    PART,
     PING,
     PONG,
     PROOF,
+    READS_PARTS,
     READS_TARGET,
     Frame,
     FrameReader,
@@ -107,7 +119,18 @@
         self.flush_requested = False
         if self.outbox and self.ready and self.connection and not self.connection.closed:
             outgoing, self.outbox = self.outbox, []
-            self.connection.send(b"".join([self.sealer.seal(body) for body in outgoing]))
+            for data in joined_parts([self.sealer.seal(body) for body in outgoing]):
+                self.connection.send(data)
+            self.update_memory()
+
+    def held_bytes(self) -> int:
+        """Return what the link holds: an incomplete frame, and what the other side hasn't taken."""
+        unsent = self.connection.unsent_size if self.connection is not None else 0
+        return len(self.frame_reader.partial) + unsent
+
+    def update_memory(self) -> None:
+        """Enter what the link holds into the account of the process."""
+        raise NotImplementedError
 
     def on_data(self, data: bytes) -> None:
         """Handle bytes from the other side."""
@@ -164,8 +187,9 @@
     """A link that this node has opened, on which it sends calls to a peer.
 
     Invariants: pending holds the calls that were sent or are in `unsent`; there is no frame of a
-    call that is in `unsent`, so a call that is abandoned there is never sent; ended is set once, and
-    pending is empty from then on.
+    call that is in `unsent`, so a call that is abandoned there is never sent; answers holds those of
+    pending calls that are passed on while they arrive; ended is set once, and pending is empty from
+    then on.
     """
 
     def __init__(self, peers: Peers, address: str) -> None:
@@ -174,8 +198,11 @@
         self.pending: Slab[Call] = Slab()
         # the calls that wait for the link to be ready, with whether the peer may queue them
         self.unsent: dict[Handle, tuple[Call, bool]] = {}
+        self.answers: dict[Handle, PeerAnswer] = {}
         self.reads_target = False  # the peer reads the latency target and the route of a call
-        self.ended = False
+        self.ended = self.parts_announced = False
+        self.memory = peers.memory.open(self)
+        self.memory.is_peer = True
         peers.network.dial(address, monotonic_us() + CONNECT_TIMEOUT_US, self)
         peers.reactor.call_at(monotonic_us() + HANDSHAKE_TIMEOUT_US, self.on_handshake_timeout)
 
@@ -222,19 +249,49 @@
 
     def send_call(self, handle: Handle, call: Call, may_queue: bool) -> None:
         """Send a call's frame, with the time that is left now until each of its deadlines."""
+        if not self.parts_announced:
+            self.parts_announced = True
+            self.send([READS_PARTS])
         self.send(encode_call(handle, call, may_queue, self.reads_target, monotonic_us()))
         self.peers.calls.on_sent(call)
 
     def on_frame(self, frame: Frame) -> None:
         """Handle the outcome of a call, or the announcement of a capability."""
+        kind = frame[0]
         outcome = decode_outcome(frame)
         if outcome is not None:
             call = self.pending.take(call_handle(frame))
             if call is not None:
                 self.report(call, outcome)
-        elif frame[0] == READS_TARGET:
+        elif kind in (PART, END):
+            answer = self.answers.get(call_handle(frame))
+            if answer is not None:
+                answer.on_part(frame[3]) if kind == PART else answer.on_end(frame[3])
+        elif kind == ANSWER:
+            begin_peer_answer(self, frame)
+        elif kind == READS_TARGET:
             self.reads_target = True
 
+    def on_data(self, data: bytes) -> None:
+        """Handle bytes from the peer, and enter those of an incomplete frame into the account."""
+        super().on_data(data)
+        if self.frame_reader.partial or self.memory.size:
+            self.memory.received(len(data), is_complete=not self.frame_reader.partial)
+            self.update_memory()
+            self.memory.memory.relieve()
+
+    def update_memory(self) -> None:
+        """Enter what the link holds into the account of the process."""
+        self.memory.resize(self.held_bytes())
+
+    def may_be_given_up(self) -> bool:
+        """Return whether a frame is incomplete, or not taken by the peer."""
+        return self.memory.size > 0
+
+    def give_up(self) -> None:
+        """Close the link, as its memory is needed."""
+        self.close("no memory for its frames")
+
     def report(self, call: Call, outcome: Outcome) -> None:
         """Report the outcome of a call at the peer."""
         peers = self.peers
@@ -280,7 +337,10 @@
         if self.ended:
             return
         self.ended = True
+        self.memory.close()
         self.peers.on_link_ended(self, cause)
+        for answer in list(self.answers.values()):
+            answer.on_end(CONNECTION_LOST)
         unsent, self.unsent = self.unsent, {}
         for handle in list(unsent):
             self.pending.take(handle)
@@ -310,8 +370,10 @@
 class IncomingLink(Link):
     """A link that a peer has opened, on which it sends calls to this node.
 
-    Invariant: running maps the peer's handle of a call to the call.
+    Invariants: running maps the peer's handle of a call to the call until its outcome is sent; answers
+    has those whose answer is passed on while it arrives.
 
+    :ivar reads_parts: the peer reads such answers.
     :ivar entry: the link in the bounds and the account of the process, None if there is no room.
     """
 
@@ -322,12 +384,14 @@
         super().__init__(peers, connection)
         connection.owner = self
         self.running: dict[Handle, Call] = {}
+        self.answers: dict[Handle, RelayedAnswer] = {}
+        self.reads_parts = False
         self.queueing_delay = QueueingDelayEstimator()
         self.transcript: tuple[bytes, ...] | None = None  # nonces and names of both sides
         self.hello_answered_at = 0  # when this node sent its proof
         self.accepted_at = monotonic_us()
         self.entry: PeerConnection | None = peers.limits.accept(
-            self.close_for_others, lambda: bool(self.running)
+            self.close_for_others, lambda: bool(self.running or self.answers)
         )
 
     def close_for_others(self) -> None:
@@ -342,12 +406,17 @@
     def on_data(self, data: bytes) -> None:
         """Handle bytes from the peer, and enter those of an incomplete frame into the account."""
         super().on_data(data)
-        entry, partial_size = self.entry, len(self.frame_reader.partial)
+        entry, held = self.entry, self.held_bytes()
         if entry is None:
             return
         entry.received_at = self.received_at
-        if partial_size or entry.memory.size:
-            entry.received(len(data), partial_size)
+        if held or entry.memory.size:
+            entry.received(len(data), held)
+
+    def update_memory(self) -> None:
+        """Enter what the link holds into the account of the process."""
+        if self.entry is not None:
+            self.entry.memory.resize(self.held_bytes())
 
     def on_handshake_frame(self, frame: Frame) -> None:
         """Handle the opener's HELLO, or the proof that follows it."""
@@ -395,10 +464,23 @@
             self.on_call(frame)
         elif kind == PING:
             self.send([PONG])
+        elif kind == CREDIT:
+            answer = self.answers.get(call_handle(frame))
+            if answer is not None:
+                answer.on_credit(frame[3])
         elif kind == CANCEL:
-            call = self.running.get(call_handle(frame))
-            if call is not None:
-                self.peers.dispatcher.cancel(call)
+            self.on_cancel(call_handle(frame))
+        elif kind == READS_PARTS:
+            self.reads_parts = True
+
+    def on_cancel(self, handle: Handle) -> None:
+        """Cancel a call of the peer, or the rest of its answer."""
+        call = self.running.get(handle)
+        answer = self.answers.pop(handle, None)
+        if call is not None:
+            self.peers.dispatcher.cancel(call)
+        elif answer is not None:
+            answer.stream.cancel()
 
     def on_call(self, frame: Frame) -> None:
         """Dispatch a call of the peer."""
@@ -417,6 +499,15 @@
     def report(self, handle: Handle, outcome: Outcome) -> None:
         """Send the outcome of a call to the peer."""
         self.release_body(self.running.pop(handle, None))
+        if not isinstance(outcome, Served) or outcome.rest is None:
+            self.send_outcome(handle, outcome)
+        elif self.reads_parts:
+            self.answers[handle] = RelayedAnswer(self, handle, outcome)
+        else:
+            collect_for_peer(self, handle, outcome)
+
+    def send_outcome(self, handle: Handle, outcome: Outcome) -> None:
+        """Send the whole outcome of a call to the peer."""
         self.send(encode_outcome(handle, outcome))
 
     def release_body(self, call: Call | None) -> None:
@@ -429,6 +520,9 @@
         self.peers.incoming.discard(self)
         if self.entry is not None:
             self.entry.end()
+        answers, self.answers = self.answers, {}
+        for answer in answers.values():
+            answer.stream.cancel()
         running, self.running = self.running, {}
         for call in running.values():
             self.release_body(call)
--- a/packages/forwarding/meadowdock/forwarding/peers.py
+++ b/packages/forwarding/meadowdock/forwarding/peers.py
@@ -103,9 +103,11 @@
         for link in list(self.outgoing.values()):
             link.received_at += paused_us
             link.check_silence(now)
+            link.update_memory()
         for incoming in list(self.incoming):
             incoming.accepted_at += paused_us
             incoming.check_handshake(now)
+            incoming.update_memory()
         for address, backoff_end in list(self.backoff_until.items()):
             if now > backoff_end and address not in self.outgoing:
                 if self.is_listed(address):
--- a/packages/forwarding/meadowdock/forwarding/sockets.py
+++ b/packages/forwarding/meadowdock/forwarding/sockets.py
@@ -51,6 +51,7 @@
     unsent_size is their number; on_end is called at most once, and never after close().
 
     :ivar read_size: bytes of the next read.
+    :ivar on_drained: called in a turn of its own whenever the kernel has accepted unsent bytes.
     """
 
     __slots__ = (
@@ -66,6 +67,7 @@
         "peer",
         "blocked_since",
         "read_size",
+        "on_drained",
     )
 
     def __init__(self, sock: socket.socket, network: SocketNetwork, peer: str = "") -> None:
@@ -78,6 +80,7 @@
         # when the kernel last accepted or first refused bytes; 0 if none are unsent
         self.blocked_since = 0
         self.read_size = SHORT_READ_SIZE
+        self.on_drained: Callable[[], object] | None = None
 
     def send(self, data: Bytes) -> None:
         """Send what the kernel accepts now, and the rest as soon as it does; the data isn't copied."""
@@ -107,6 +110,8 @@
                 await wait_writable(self.sock)
                 if self.unsent:  # the connection may have been closed meanwhile
                     self.drop_unsent(self.sock.send(self.next_unsent()))
+                    if self.on_drained is not None:
+                        self.network.reactor.turn(self.on_drained)
         except BlockingIOError:
             pass
         except (OSError, trio.ClosedResourceError):
--- a/packages/forwarding/meadowdock/forwarding/upstream.py
+++ b/packages/forwarding/meadowdock/forwarding/upstream.py
@@ -1,6 +1,7 @@
 """Connections to the endpoints on this machine; each carries one call at a time.
 
-A response is bounded by kind while it arrives, and in the account of the process until it is complete.
+A response is bounded by kind while it arrives, and in the account of the process until it is passed on:
+a short one once it is complete, a longer one while it arrives (`answer_stream`).
 """
 
 from __future__ import annotations
@@ -8,11 +9,17 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from meadowdock.forwarding.answer_stream import (
+    LATE_READER_CHECK_US,
+    WHOLE_ANSWER_MAX_BYTES,
+    AnswerStream,
+)
 from meadowdock.forwarding.byte_parts import Bytes, joined_parts
 from meadowdock.forwarding.call import Call, Served
 from meadowdock.forwarding.outcome_codes import (
     BAD_ANSWER,
     BUSY,
+    CANCELLED,
     CONNECTION_LOST,
     DEADLINE_PASSED,
     NO_ANSWER,
@@ -59,7 +66,8 @@
     Invariants: call is the one that was sent and whose response has not been read to its end;
     answered_ids holds the ids of the latest calls before it, whose duplicate responses may still
     arrive; a connection is in its pool's idle list iff it is open, can be reused and has no call;
-    memory is not None iff there is a call that was sent.
+    memory is not None iff there is a call that was sent; stream is set once the response to the call is
+    passed on while it arrives.
 
     :ivar is_costly: what was read last was costly to parse.
     """
@@ -72,6 +80,7 @@
         "answered_ids",
         "idle_until",
         "memory",
+        "stream",
         "is_costly",
     )
 
@@ -83,6 +92,7 @@
         self.responses = ResponseParser(pool.check.mesh_header_names, RESPONSE_BODY_MAX_BYTES)
         self.idle_until = 0
         self.memory: MemoryEntry | None = None
+        self.stream: AnswerStream | None = None
         self.is_costly = False
 
     def on_open(self, connection: Connection) -> None:
@@ -112,6 +122,9 @@
             return
         responses.feed(data)
         self.is_costly = responses.bounds.step_count > COSTLY_STEPS
+        if self.stream is not None:
+            self.continue_stream(call, self.stream)
+            return
         response = self.next_response()
         if response is not None:
             self.release_call()
@@ -122,6 +135,8 @@
             self.release_call()
             self.drop()
             self.pool.dispatcher.on_outcome_unknown(call, BAD_ANSWER)
+        elif responses.body.size > WHOLE_ANSWER_MAX_BYTES and responses.head is not None:
+            self.on_long_response(call, responses.head)
         else:
             self.account_for(len(data))
 
@@ -132,9 +147,70 @@
         self.memory.resize(self.responses.held_bytes)
         self.memory.memory.relieve()
 
+    def on_long_response(self, call: Call, head: Response) -> None:
+        """Pass a response on while it arrives, if it belongs to the call.
+
+        The body of a duplicate response to an earlier call is dropped.
+        """
+        if head.mesh_headers.get(self.pool.check.call_id_name) in self.answered_ids:
+            self.responses.take_part()
+            return
+        self.answered_ids.append(call.id)
+        if self.pool.check_response(self, call, head) is not VALID:
+            self.release_call()
+            self.drop()
+            return
+        assert self.connection is not None
+        stream = self.stream = AnswerStream(self, head.length)
+        self.connection.pause()
+        part = self.responses.take_part()
+        self.account_for(0)
+        served = self.pool.served(call, head, part, stream)
+        self.pool.dispatcher.begin_answer(call, served)
+
+    def continue_stream(self, call: Call, stream: AnswerStream) -> None:
+        """Pass on what was read of a long response."""
+        responses = self.responses
+        response = self.next_response()
+        if response is not None:
+            self.end_stream(call)
+            stream.push(response.body)
+            stream.complete()
+            self.resume_answer()
+            self.pool.reuse_or_close(self, call, response, monotonic_us())
+        elif responses.malformed:
+            self.pool.report_refusal(responses.refusal)
+            self.end_stream(call, BAD_ANSWER)
+            self.drop()
+            stream.break_off(BAD_ANSWER)
+        else:
+            stream.push(responses.take_part())
+
+    def end_stream(self, call: Call, cause: str = "") -> None:
+        """Release the call whose response was passed on, to its end or until it broke off."""
+        self.stream = None
+        self.release_call()
+        self.pool.local_calls.on_stream_ended(call, cause)
+
+    def pause_answer(self) -> None:
+        """Stop reading the response."""
+        if self.connection is not None:
+            self.connection.pause()
+
+    def resume_answer(self) -> None:
+        """Continue to read the response."""
+        if self.connection is not None:
+            self.connection.resume()
+
+    def cancel_answer(self) -> None:
+        """Close the connection, as the rest of the response isn't wanted."""
+        if self.call is not None and self.stream is not None:
+            self.end_stream(self.call, CANCELLED)
+        self.drop()
+
     def may_be_given_up(self) -> bool:
         """Return whether the response is incomplete."""
-        return self.call is not None
+        return self.call is not None and self.stream is None
 
     def give_up(self) -> None:
         """Close the connection, as the memory of the response is needed."""
@@ -157,6 +233,8 @@
         complete = self.responses.complete
         while complete:
             response = complete.pop(0)
+            if self.stream is not None:
+                return response
             if response.mesh_headers.get(self.pool.check.call_id_name) not in self.answered_ids:
                 return response
         return None
@@ -169,11 +247,17 @@
 
     def on_end(self, cause: object) -> None:
         """Report the outcome of the call as unknown after the connection has ended."""
-        call = self.call
-        self.release_call()
+        call, stream = self.call, self.stream
         self.discard()
-        if call is not None:
+        if call is None:
+            return
+        if stream is None:
+            self.release_call()
             self.pool.dispatcher.on_outcome_unknown(call, CONNECTION_LOST)
+        else:
+            self.pool.report_refusal("broken off")
+            self.end_stream(call, CONNECTION_LOST)
+            stream.break_off(CONNECTION_LOST)
 
     def drop(self) -> None:
         """Close the connection."""
@@ -272,7 +356,7 @@
         """Handle a complete response."""
         self.reuse_or_close(upstream, call, response, monotonic_us())
         if self.check_response(upstream, call, response) is VALID:
-            self.local_calls.on_answered(call, self.served(call, response))
+            self.local_calls.on_answered(call, self.served(call, response, response.body))
 
     def check_response(
         self, upstream: UpstreamConnection, call: Call, response: Response
@@ -296,11 +380,22 @@
             self.dispatcher.on_outcome_unknown(call, BAD_ANSWER)
         return verdict
 
-    def served(self, call: Call, response: Response) -> Served:
-        """Return the outcome of a call whose response is valid."""
+    def served(
+        self,
+        call: Call,
+        response: Response,
+        body: bytes | bytearray,
+        rest: AnswerStream | None = None,
+    ) -> Served:
+        """Return the outcome of a call whose response is valid.
+
+        :param rest: what is still to arrive of a long response.
+        """
         response.lines = self.check.lines_for_caller(response, call.id)
-        head = response_head(response) + length_line(response, call.is_head)
-        return Served(head, response.body, response.status)
+        head = response_head(response)
+        if rest is None:
+            head += length_line(response, call.is_head)
+        return Served(head, body, response.status, rest)
 
     def report_refusal(self, cause: str) -> None:
         """Log and count that the endpoint's response can't be passed on, or not to its end."""
@@ -324,9 +419,21 @@
             self.add_idle(upstream, response.keep_alive_s * SECOND - KEEP_ALIVE_MARGIN_US, now)
 
     def on_deadline(self, call: Call) -> None:
-        """Give up waiting for a response after the deadline, and close the connection."""
-        if self.abort(call):
-            self.dispatcher.on_outcome_unknown(call, NO_ANSWER)
+        """Give up waiting for a response after the deadline, and close the connection.
+
+        An answer that waits for its reader alone is left to the reader's time-out.
+        """
+        stream = call.stream
+        if stream is None:
+            if self.abort(call):
+                self.dispatcher.on_outcome_unknown(call, NO_ANSWER)
+        elif stream.waits_for_reader(monotonic_us()):
+            call.timer = self.dispatcher.reactor.call_at(
+                monotonic_us() + LATE_READER_CHECK_US, lambda: self.on_deadline(call)
+            )
+        else:
+            self.report_refusal("not complete by the deadline")
+            stream.abort(NO_ANSWER)
 
     def abort(self, call: Call) -> bool:
         """Abort a call by closing its connection, at which the endpoint stops working on it.
--- a/packages/rpc/meadowdock/rpc/frame.py
+++ b/packages/rpc/meadowdock/rpc/frame.py
@@ -55,9 +55,9 @@
         """Return the next frame: length, tag and body."""
         return len(body).to_bytes(LENGTH_SIZE, "big") + self.tag(body) + body
 
-    def open(self, sealed: bytes) -> bytes | None:
+    def open(self, sealed: bytes | memoryview) -> bytes | None:
         """Return the body of the next frame (tag and body), or None if its tag is wrong."""
-        tag, body = sealed[:TAG_SIZE], sealed[TAG_SIZE:]
+        tag, body = sealed[:TAG_SIZE], bytes(sealed[TAG_SIZE:])
         return body if hmac.compare_digest(tag, self.tag(body)) else None
 
 
--- a/packages/simulator/meadowdock/simulator/wires.py
+++ b/packages/simulator/meadowdock/simulator/wires.py
@@ -36,6 +36,7 @@
         self.ended = False  # END or RESET was sent
         self.read_paused = None
         self.blocked_since = 0
+        self.on_drained = None
         self.inbox, self.unread = deque(), 0
         self.arrived, self.window_opened = trio.Event(), trio.Event()
 
@@ -74,6 +75,9 @@
                 self.blocked_since = monotonic_us()
                 self.unsent = [data[sent:]] if sent < len(data) else []
                 self.unsent_size = len(data) - sent
+                if self.on_drained is not None:
+                    self.on_drained()
+                    self.wires.reactor.end_turn()
             else:
                 self.window_opened = trio.Event()
                 await self.window_opened.wait()
