--- a/packages/forwarding/meadowdock/forwarding/answer_stream.py
+++ b/packages/forwarding/meadowdock/forwarding/answer_stream.py
@@ -21,6 +21,7 @@
 UNSENT_LOW_BYTES = 128 << 10  # it reads again once less waits
 # After its deadline an answer is broken off, unless its reader was waited for in this time.
 LATE_READER_CHECK_US = SECOND
+LATE_READER_MAX_US = 10 * SECOND  # how long after the deadline a slow reader may still read
 
 
 class StreamSource(Protocol):
@@ -117,9 +118,13 @@
             self.is_paused = False
             self.source.resume_answer()
 
-    def waits_for_reader(self, now: int) -> bool:
-        """Return whether the answer is held up by who reads it, not by who sends it."""
-        return self.is_paused or now - self.paused_at < LATE_READER_CHECK_US
+    def waits_for_reader(self, deadline: int, now: int) -> bool:
+        """Return whether the answer is late because of who reads it, not of who sends it.
+
+        :param deadline: by which the answer should have arrived.
+        """
+        is_held_up = self.is_paused or now - self.paused_at < LATE_READER_CHECK_US
+        return is_held_up and now - deadline < LATE_READER_MAX_US
 
     def cancel(self) -> None:
         """End the answer because nobody reads it any more; the sink isn't told."""
--- a/packages/simulator/meadowdock/simulator/standin/caller.py
+++ b/packages/simulator/meadowdock/simulator/standin/caller.py
@@ -95,7 +95,7 @@
     def on_end(self, cause):
         self.closed_at = monotonic_us()
         if self.reader.buffered:
-            self.incomplete_response = self.reader.buffered
+            self.incomplete_response = bytes(self.reader.buffered)
         while self.asked:
             request = self.asked.popleft()
             request.ended, request.took = cause, monotonic_us() - request.at
--- a/packages/simulator/meadowdock/simulator/standin/endpoint.py
+++ b/packages/simulator/meadowdock/simulator/standin/endpoint.py
@@ -43,6 +43,7 @@
         self.chunks = False  # send bodies in chunks
         self.reports_load = True
         self.size = 0  # of a response's padding
+        self.endless_kind = "large-chunks"  # of the fault "endless"
         self.process = None
 
     async def serve(self, net, nursery, task_status=trio.TASK_STATUS_IGNORED):
--- a/packages/simulator/meadowdock/simulator/standin/faults.py
+++ b/packages/simulator/meadowdock/simulator/standin/faults.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from meadowdock.runtime import MILLISECOND, sleep_us
+from meadowdock.simulator.standin.endless import ENDLESS
+
+ENDLESS_PAUSE_US = 2 * MILLISECOND  # between two pieces
 
 FAULTS = [
     *("reset", "close", "silence", "short", "short_head", "garbage", "unstamped", "nameless"),
@@ -15,7 +18,7 @@
     """The response faults of a StandIn.
 
     Each is a method fault_NAME(job, execution, data), in which data is the correct response to a
-    job that was executed. Faults without a method are handled by StandIn itself.
+    job that was executed. "endless" sends bytes of the kind `endless_kind`. Faults without a method are handled by StandIn itself.
     """
 
     def fault_reset(self, job, execution, data):
@@ -82,3 +85,18 @@
     def fault_own_500(self, job, execution, data):
         execution.status = 500
         job.conn.say(data.replace(b"HTTP/1.1 200", b"HTTP/1.1 500"))
+
+    def fault_endless(self, job, execution, data):
+        """Send bytes of a drawn kind until the connection ends."""
+        lines = [(self.dialect.call_id, execution.id), (self.dialect.stamp, b"s")]
+        identity = b"".join(b"%s: %s\r\n" % line for line in lines)
+        answer = ENDLESS[self.endless_kind](identity)
+        self.nursery.start_soon(self.send_endlessly, job.conn, answer)
+
+    async def send_endlessly(self, conn, answer):
+        """Send as fast as the other side reads, in pieces."""
+        conn.wire.send(answer.opening)
+        while not conn.over and not conn.wire.closed:
+            if not conn.wire.unsent_size:
+                conn.wire.send(answer.piece)
+            await sleep_us(ENDLESS_PAUSE_US)
--- a/packages/simulator/meadowdock/simulator/standin/messages.py
+++ b/packages/simulator/meadowdock/simulator/standin/messages.py
@@ -13,11 +13,14 @@
 class Reader:
     """A reader of the messages of a byte stream.
 
-    Invariant: buffered holds bytes that are no complete message yet.
+    Invariants: buffered holds bytes that are no complete message yet; head is that of the message at
+    its beginning, None until it is complete, and body_start is where its body begins.
     """
 
     def __init__(self):
-        self.buffered = b""
+        self.buffered = bytearray()
+        self.head, self.body_start = None, 0
+        self.dechunker = None  # of a chunked body that is arriving
         self.to_head_requests = deque()  # for each response expected: whether it is to a HEAD
 
     def feed(self, data):
@@ -33,35 +36,48 @@
 
     def message(self):
         """Return the next message if it is complete, else None."""
-        head, blank_line, rest = self.buffered.partition(b"\r\n\r\n")
-        if not blank_line:
-            if (
-                self.buffered
-                and not self.buffered[:5].strip(b"ABCDEFGHIJKLMNOPQRSTUVWXYZ /") == b""
-            ):
-                raise Malformed(self.buffered[:40])
+        if self.head is None and not self.read_head():
             return None
-        start_line, headers = parse_head(head)
+        start_line, headers = self.head
         values = {name.lower(): value for name, value in headers}
         is_response = start_line.startswith(b"HTTP/1.1 ")
         status = int(start_line.split(b" ")[1]) if is_response else 0
         is_final = is_response and status >= 200
         to_head_request = bool(self.to_head_requests and self.to_head_requests[0])
         has_no_body = to_head_request if is_final else is_response
+        body, end = b"", self.body_start
         if has_no_body or status in (204, 304):
-            body, unread = b"", rest
+            pass
         elif b"transfer-encoding" in values:
-            body, unread = dechunked(rest)
+            self.dechunker = self.dechunker or Dechunker(self.body_start)
+            body, end = self.dechunker.parse(self.buffered)
         else:
-            size = int(values.get(b"content-length", 0))
-            body, unread = (rest[:size], rest[size:]) if len(rest) >= size else (None, None)
+            end += int(values.get(b"content-length", 0))
+            if len(self.buffered) < end:
+                return None
+            body = bytes(self.buffered[self.body_start : end])
         if body is None:
             return None
-        if is_response and status >= 200 and self.to_head_requests:
+        self.head = self.dechunker = None
+        if is_final and self.to_head_requests:
             self.to_head_requests.popleft()
-        self.buffered = unread
+        del self.buffered[:end]
         return start_line, headers, body
 
+    def read_head(self):
+        """Read the head of the next message, and return whether it is complete.
+
+        :raises Malformed: if the bytes are not a head.
+        """
+        end = self.buffered.find(b"\r\n\r\n")
+        if end < 0:
+            begin = bytes(self.buffered[:5])
+            if begin.strip(b"ABCDEFGHIJKLMNOPQRSTUVWXYZ /"):
+                raise Malformed(bytes(self.buffered[:40]))
+            return False
+        self.head, self.body_start = parse_head(bytes(self.buffered[:end])), end + 4
+        return True
+
 
 def parse_head(head):
     """Return (start line, [(name, value)]) of a message's head.
@@ -80,19 +96,32 @@
     return start_line, headers
 
 
-def dechunked(data):
-    """Return (body, the bytes behind it) of a chunked body, or (None, None) if it is incomplete."""
-    body = b""
-    while True:
-        size, end, data = data.partition(b"\r\n")
-        if not end:
-            return None, None
-        size = int(size, 16)
-        if len(data) < size + 2:
-            return None, None
-        body, data = body + data[:size], data[size + 2 :]
-        if size == 0:
-            return body, data
+class Dechunker:
+    """Decodes a chunked body that arrives in parts, each byte once.
+
+    Invariants: body holds the chunks that are complete; offset is where the next one begins.
+    """
+
+    def __init__(self, start):
+        self.body, self.offset = bytearray(), start
+
+    def parse(self, data):
+        """Return the body and where it ends, or (None, None) if it is incomplete.
+
+        :param data: all bytes of the message that have arrived.
+        """
+        while True:
+            line_end = data.find(b"\r\n", self.offset)
+            if line_end < 0:
+                return None, None
+            size = int(data[self.offset : line_end], 16)
+            start, end = line_end + 2, line_end + 2 + size
+            if len(data) < end + 2:
+                return None, None
+            self.body += data[start:end]
+            self.offset = end + 2
+            if size == 0:
+                return bytes(self.body), self.offset
 
 
 def chunked(body, size=7):
--- a/packages/soak/meadowdock/soak/soak.py
+++ b/packages/soak/meadowdock/soak/soak.py
@@ -11,7 +11,6 @@
 from meadowdock.runtime import MILLISECOND, SECOND, monotonic_us, sleep_us
 from meadowdock.soak.faults import Fault, draw_faults
 from meadowdock.soak.fleet import SoakFleet, soak_topology
-from meadowdock.soak.planned_work import PlannedWork
 from meadowdock.soak.traffic import DEADLINE_MS, Traffic, initial_items
 
 RECOVERY_S = 3.0
@@ -38,10 +37,13 @@
 
 @dataclass
 class Result:
-    """Counts and violations of one soak run."""
+    """Counts and violations of one soak run.
+
+    :ivar faults: what was drawn for the run, in the types of its soak.
+    """
 
     seed: int
-    faults: list[Fault] | list[PlannedWork]
+    faults: list
     calls: int = 0
     served: int = 0
     refused: int = 0
--- a/tests/support/endless_kinds.py
+++ b/tests/support/endless_kinds.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from faulty_endpoints import ENDLESS, EndlessAnswer
+from faulty_endpoints import identity
+
+from meadowdock.simulator.standin.endless import ENDLESS, EndlessAnswer
 
 READ_BYTES = 16_384
 
 
 def endless(kind: str, call_id: bytes = b"c-1") -> EndlessAnswer:
     """Return the bytes of a kind."""
-    return ENDLESS[kind](call_id)
+    return ENDLESS[kind](identity(call_id))
 
 
 def reads(answer: EndlessAnswer, total: int):
--- a/tests/support/faulty_endpoints.py
+++ b/tests/support/faulty_endpoints.py
@@ -28,79 +28,31 @@
     Limits,
 )
 
-PIECE_BYTES = 65_536
-SOUND_BYTES = 60_000_000  # a body within the limits
+from meadowdock.simulator.standin.endless import (
+    CHUNKED,
+    ENDLESS,
+    FILLER,
+    OK_LINE,
+    PIECE_BYTES,
+    chunk,
+)
+
 TRICKLE_BYTES = 4_096
 DEADLINE_S = 8  # of the faulty endpoint's callers
 ORDINARY_DEADLINE_S = 3
 ORDINARY_INTERVAL_S = 0.1
 # after its deadline, for a caller to see that its connection has ended
 MARGIN_S = 2
-OK_LINE = b"HTTP/1.1 200 OK\r\n"
-
-
-@dataclass(frozen=True)
-class EndlessAnswer:
-    """Bytes that an endpoint sends to a request: first `opening`, then `piece` without end."""
-
-    opening: bytes
-    piece: bytes
 
 
 def head(call_id: bytes) -> bytes:
     """Return the head of a sound answer, without its last line."""
-    return OK_LINE + b"Attempt-Id: %s\r\nResponse-Stamp: s.%s\r\n" % (call_id, call_id)
-
-
-def repeat(line: bytes) -> bytes:
-    """Return about PIECE_BYTES of a repeated line."""
-    return line * (PIECE_BYTES // len(line))
-
-
-def chunk(data: bytes) -> bytes:
-    """Return a chunk of a body."""
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
-FILLER = b"x" * PIECE_BYTES
-CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
-
-# by name: what follows the lines that identify the answer, and what then comes without end
-ENDLESS: dict[str, Callable[[bytes], EndlessAnswer]] = {
-    "header-value": lambda call_id: EndlessAnswer(head(call_id) + b"X-Long: ", FILLER),
-    "header-name": lambda call_id: EndlessAnswer(head(call_id), FILLER),
-    "short-header-lines": lambda call_id: EndlessAnswer(head(call_id), repeat(b"a: b\r\n")),
-    "long-header-lines": lambda call_id: EndlessAnswer(
-        head(call_id), repeat(b"X-Long: " + b"x" * 4_000 + b"\r\n")
-    ),
-    "reason-phrase": lambda call_id: EndlessAnswer(b"HTTP/1.1 200 ", FILLER),
-    "empty-lines": lambda call_id: EndlessAnswer(b"", repeat(b"\r\n")),
-    "interim-100": lambda call_id: EndlessAnswer(b"", repeat(b"HTTP/1.1 100 Continue\r\n\r\n")),
-    "interim-103": lambda call_id: EndlessAnswer(
-        b"", repeat(b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
-    ),
-    "trailers": lambda call_id: EndlessAnswer(
-        head(call_id) + CHUNKED + chunk(b"hello") + b"0\r\n", repeat(b"a: b\r\n")
-    ),
-    "trailer-value": lambda call_id: EndlessAnswer(
-        head(call_id) + CHUNKED + chunk(b"hello") + b"0\r\nX-Long: ", FILLER
-    ),
-    "chunk-extension": lambda call_id: EndlessAnswer(head(call_id) + CHUNKED + b"5;x=", FILLER),
-    "chunk-length": lambda call_id: EndlessAnswer(
-        head(call_id) + CHUNKED + chunk(b"hello"), b"0" * PIECE_BYTES
-    ),
-    "chunks-of-one-byte": lambda call_id: EndlessAnswer(
-        head(call_id) + CHUNKED, repeat(chunk(b"x"))
-    ),
-    "large-chunks": lambda call_id: EndlessAnswer(head(call_id) + CHUNKED, chunk(FILLER)),
-    "body-without-length": lambda call_id: EndlessAnswer(head(call_id) + b"\r\n", FILLER),
-    "body-of-a-terabyte": lambda call_id: EndlessAnswer(
-        head(call_id) + b"Content-Length: 1000000000000\r\n\r\n", FILLER
-    ),
-    "longer-than-said": lambda call_id: EndlessAnswer(
-        head(call_id) + b"Content-Length: %d\r\n\r\n" % SOUND_BYTES, FILLER
-    ),
-}
+    return OK_LINE + identity(call_id)
+
+
+def identity(call_id: bytes) -> bytes:
+    """Return the header lines by which an answer proves to which request it belongs."""
+    return b"Attempt-Id: %s\r\nResponse-Stamp: s.%s\r\n" % (call_id, call_id)
 
 
 def read_request(sock: socket.socket) -> tuple[bytes, bytes] | None:
@@ -171,7 +123,7 @@
         """Send bytes of a kind without end from now on."""
 
         def send_all(sock: socket.socket, call_id: bytes) -> None:
-            endless = ENDLESS[kind](call_id)
+            endless = ENDLESS[kind](identity(call_id))
             sock.sendall(endless.opening)
             while True:
                 sock.sendall(endless.piece)
