A slow reader is waited for by what it takes, not by a time after the deadline

Now a reader that takes 256 KiB a second goes on, and one that takes less is broken off, so that it doesn't hold a slot.

--- a/packages/forwarding/meadowdock/forwarding/answer_stream.py
+++ b/packages/forwarding/meadowdock/forwarding/answer_stream.py
@@ -21,7 +21,7 @@
 UNSENT_LOW_BYTES = 128 << 10  # it reads again once less waits
 # After its deadline an answer is broken off, unless its reader was waited for in this time.
 LATE_READER_CHECK_US = SECOND
-LATE_READER_MAX_US = 10 * SECOND  # how long after the deadline a slow reader may still read
+LATE_READER_MIN_BYTES = 256 << 10  # taken in that time
 
 
 class StreamSource(Protocol):
@@ -59,13 +59,25 @@
     :ivar length: bytes of the whole body, None if it isn't known.
     """
 
-    __slots__ = ("source", "length", "sink", "is_paused", "paused_at", "ended", "broken_by")
+    __slots__ = (
+        "source",
+        "length",
+        "sink",
+        "is_paused",
+        "paused_at",
+        "pushed",
+        "taken_before",
+        "ended",
+        "broken_by",
+    )
 
     def __init__(self, source: StreamSource, length: int | None) -> None:
         self.source, self.length = source, length
         self.sink: StreamSink | None = None
         self.is_paused = True
         self.paused_at = monotonic_us()  # last
+        self.pushed = 0  # bytes
+        self.taken_before = -LATE_READER_MIN_BYTES  # at the last check of its lateness
         self.ended = False
         self.broken_by = ""  # why it ended before its end
 
@@ -80,6 +92,7 @@
     def push(self, part: Bytes) -> None:
         """Pass on a part that the source has read."""
         if part and not self.ended and self.sink is not None:
+            self.pushed += len(part)
             self.sink.on_part(part)
 
     def complete(self) -> None:
@@ -118,13 +131,15 @@
             self.is_paused = False
             self.source.resume_answer()
 
-    def waits_for_reader(self, deadline: int, now: int) -> bool:
+    def waits_for_reader(self, now: int) -> bool:
         """Return whether the answer is late because of who reads it, not of who sends it.
 
-        :param deadline: by which the answer should have arrived.
+        To be called every LATE_READER_CHECK_US from the deadline on. A reader that takes less than
+        LATE_READER_MIN_BYTES in that time is not waited for any more.
         """
+        taken, self.taken_before = self.pushed - self.taken_before, self.pushed
         is_held_up = self.is_paused or now - self.paused_at < LATE_READER_CHECK_US
-        return is_held_up and now - deadline < LATE_READER_MAX_US
+        return is_held_up and taken >= LATE_READER_MIN_BYTES
 
     def cancel(self) -> None:
         """End the answer because nobody reads it any more; the sink isn't told."""
--- a/packages/forwarding/meadowdock/forwarding/peer_calls.py
+++ b/packages/forwarding/meadowdock/forwarding/peer_calls.py
@@ -96,7 +96,7 @@
     def on_deadline(self, call: Call) -> None:
         """Give up waiting for the peer's answer after the deadline."""
         link, stream = call.peer_link, call.stream
-        if stream is not None and stream.waits_for_reader(call.deadline, monotonic_us()):
+        if stream is not None and stream.waits_for_reader(monotonic_us()):
             call.timer = self.reactor.call_at(
                 monotonic_us() + LATE_READER_CHECK_US, lambda: self.on_deadline(call)
             )
--- a/packages/forwarding/meadowdock/forwarding/upstream.py
+++ b/packages/forwarding/meadowdock/forwarding/upstream.py
@@ -427,7 +427,7 @@
         if stream is None:
             if self.abort(call):
                 self.dispatcher.on_outcome_unknown(call, NO_ANSWER)
-        elif stream.waits_for_reader(call.deadline, monotonic_us()):
+        elif stream.waits_for_reader(monotonic_us()):
             call.timer = self.dispatcher.reactor.call_at(
                 monotonic_us() + LATE_READER_CHECK_US, lambda: self.on_deadline(call)
             )
--- a/tests/forwarding/test_long_answers.py
+++ b/tests/forwarding/test_long_answers.py
@@ -207,3 +207,24 @@
         await wait_until_done(held)
 
     gated(scenario, application=("desk",))
+
+
+@pytest.mark.parametrize("relocated", (False, True))
+def test_a_reader_that_takes_next_to_nothing_does_not_hold_an_endpoint_for_ever(relocated):
+    async def scenario(world):
+        set_size(world, UNREAD_BYTES, False)
+        caller = await world.caller(host_of(world, relocated))
+        caller.wire.pause()
+        exchange = caller.ask(due_ms=1_000)
+        for _ in range(2):  # a little now and then, so that no time-out of a blocked write ends it
+            await sleep_us(3 * SECOND)
+            caller.wire.resume()
+            await sleep_us(MILLISECOND)
+            caller.wire.pause()
+        (end,) = world.ends.values()
+        assert not end.conns, "the connection to the endpoint is closed"
+        caller.wire.resume()
+        await wait_until_done([exchange])
+        assert not exchange.status and exchange.ended, "not taken for a complete answer"
+
+    gated(scenario, application=("desk", ""))
