--- a/tests/crowds/test_faulty_endpoints.py
+++ b/tests/crowds/test_faulty_endpoints.py
@@ -14,8 +14,6 @@
 from crowds import MACHINE_LIMITS
 from faulty_endpoints import (
     DEADLINE_S,
-    ENDLESS,
-    SOUND_BYTES,
     Callers,
     faulty_callers,
     faulty_deployment,
@@ -23,6 +21,8 @@
     set_limit,
 )
 
+from meadowdock.simulator.standin.endless import ENDLESS, SOUND_BYTES
+
 pytestmark = pytest.mark.crowd
 
 CALLERS = 6
