--- a/packages/forwarding/meadowdock/forwarding/answer_stream.py
+++ b/packages/forwarding/meadowdock/forwarding/answer_stream.py
@@ -21,7 +21,8 @@
 UNSENT_LOW_BYTES = 128 << 10  # it reads again once less waits
 # After its deadline an answer is broken off, unless its reader was waited for in this time.
 LATE_READER_CHECK_US = SECOND
-LATE_READER_MIN_BYTES = 256 << 10  # taken in that time
+LATE_READER_WINDOW_US = 10 * SECOND  # in which a slow reader may also rest
+LATE_READER_MIN_BYTES = 1 << 20  # taken in a window
 
 
 class StreamSource(Protocol):
@@ -66,6 +67,7 @@
         "is_paused",
         "paused_at",
         "pushed",
+        "window_began_at",
         "taken_before",
         "ended",
         "broken_by",
@@ -77,7 +79,7 @@
         self.is_paused = True
         self.paused_at = monotonic_us()  # last
         self.pushed = 0  # bytes
-        self.taken_before = -LATE_READER_MIN_BYTES  # at the last check of its lateness
+        self.window_began_at = self.taken_before = 0  # of a reader that is late
         self.ended = False
         self.broken_by = ""  # why it ended before its end
 
@@ -135,11 +137,16 @@
         """Return whether the answer is late because of who reads it, not of who sends it.
 
         To be called every LATE_READER_CHECK_US from the deadline on. A reader that takes less than
-        LATE_READER_MIN_BYTES in that time is not waited for any more.
+        LATE_READER_MIN_BYTES in LATE_READER_WINDOW_US is not waited for any more.
         """
-        taken, self.taken_before = self.pushed - self.taken_before, self.pushed
+        if not self.window_began_at:
+            self.window_began_at, self.taken_before = now, self.pushed
         is_held_up = self.is_paused or now - self.paused_at < LATE_READER_CHECK_US
-        return is_held_up and taken >= LATE_READER_MIN_BYTES
+        if not is_held_up or now - self.window_began_at < LATE_READER_WINDOW_US:
+            return is_held_up
+        taken = self.pushed - self.taken_before
+        self.window_began_at, self.taken_before = now, self.pushed
+        return taken >= LATE_READER_MIN_BYTES
 
     def cancel(self) -> None:
         """End the answer because nobody reads it any more; the sink isn't told."""
--- a/tests/forwarding/test_long_answers.py
+++ b/tests/forwarding/test_long_answers.py
@@ -216,8 +216,8 @@
         caller = await world.caller(host_of(world, relocated))
         caller.wire.pause()
         exchange = caller.ask(due_ms=1_000)
-        for _ in range(2):  # a little now and then, so that no time-out of a blocked write ends it
-            await sleep_us(3 * SECOND)
+        for _ in range(3):  # a little now and then, so that no time-out of a blocked write ends it
+            await sleep_us(9 * SECOND)
             caller.wire.resume()
             await sleep_us(MILLISECOND)
             caller.wire.pause()
