A call that has left a wait queue is released at once, with its body

Callers saw a proxy end after a few large bodies for a service without an endpoint, all refused with 503. Cause: the heap of a wait queue kept up to 16 entries of calls that had left, each with its call and body, and no account knew of them. A heap entry has the position alone now; the calls stand in a mapping that a call leaves with the queue.

--- a/packages/forwarding/meadowdock/forwarding/wait_queue.py
+++ b/packages/forwarding/meadowdock/forwarding/wait_queue.py
@@ -14,13 +14,17 @@
     """Calls of one service that wait for a slot, here or at a peer.
 
     Invariants: calls are ordered by urgency, then by arrival; the `queue` of each call in it is
-    this queue; waiting is the number of calls by urgency, and work_us is the total time for which
-    they will hold a slot, by urgency; the heap keeps entries of calls that have left, at most as many
-    as calls that wait and SPARE_ENTRIES_MAX. A call's urgency and hold_us don't change while it is queued.
+    this queue, and calls has just these, by their position; waiting is the number of calls by urgency,
+    and work_us is the total time for which they will hold a slot, by urgency; the heap keeps entries of
+    calls that have left, at most as many as calls that wait and SPARE_ENTRIES_MAX. A call's urgency and
+    hold_us don't change while it is queued.
     """
 
     def __init__(self) -> None:
-        self.heap: list[tuple[int, int, Call]] = []
+        self.heap: list[
+            tuple[int, int]
+        ] = []  # urgency and position; a call has left if not in calls
+        self.calls: dict[int, Call] = {}
         self.last_position = 0
         self.waiting: dict[int, int] = {}
         self.work_us: dict[int, int] = {}
@@ -32,38 +36,33 @@
         """Append a call behind the other calls of its urgency."""
         self.last_position += 1
         call.queue, call.queue_position = self, self.last_position
-        heapq.heappush(self.heap, (call.urgency, call.queue_position, call))
+        self.calls[call.queue_position] = call
+        heapq.heappush(self.heap, (call.urgency, call.queue_position))
         self.waiting[call.urgency] = self.waiting.get(call.urgency, 0) + 1
         self.work_us[call.urgency] = self.work_us.get(call.urgency, 0) + call.hold_us
 
     def leave(self, call: Call) -> None:
         """Remove a call, whatever its position is."""
         call.queue = None
+        del self.calls[call.queue_position]
         self.waiting[call.urgency] -= 1
         self.work_us[call.urgency] -= call.hold_us
         if len(self.heap) > 2 * len(self) + SPARE_ENTRIES_MAX:
-            self.heap = [entry for entry in self.heap if self.is_current(entry)]
+            self.heap = [entry for entry in self.heap if entry[1] in self.calls]
             heapq.heapify(self.heap)
 
-    def is_current(self, entry: tuple[int, int, Call]) -> bool:
-        """Return whether a heap entry is still its call's position.
-
-        A call may have left the queue and joined it again at another position.
-        """
-        _, position, call = entry
-        return call.queue is self and call.queue_position == position
-
     def in_order(self) -> list[Call]:
         """Return all calls in the order in which they will be taken."""
-        return [entry[2] for entry in sorted(self.heap) if self.is_current(entry)]
+        return [self.calls[position] for _, position in sorted(self.heap) if position in self.calls]
 
     def pop(self) -> Call | None:
         """Remove and return the first call; None if the queue is empty."""
         while self.heap:
-            entry = heapq.heappop(self.heap)
-            if self.is_current(entry):
-                self.leave(entry[2])
-                return entry[2]
+            _, position = heapq.heappop(self.heap)
+            call = self.calls.get(position)
+            if call is not None:
+                self.leave(call)
+                return call
         return None
 
     def count_in_time(self, priority: int) -> int:
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import sys
+
 import pytest
 from gates import default_items, gated, gateway_of, send_call, wait_until_done
 from gateway_estimates import HIGH, LOW, set_hold_time, work_us_by_path
@@ -77,6 +79,15 @@
     assert [queue.pop() for _ in range(4)] == [waiting[1], waiting[2], waiting[0], None]
 
 
+def test_a_call_that_has_left_is_released_at_once():
+    """Seen: up to 16 calls that had left were held, each with its body (#50)."""
+    queue, call = WaitQueue(), make_call()
+    holders = sys.getrefcount(call)
+    queue.join(call)
+    queue.leave(call)
+    assert sys.getrefcount(call) == holders
+
+
 def test_queued_work_is_totalled_by_urgency():
     queue, first = WaitQueue(), make_call(hold_us=150)
     queue.join(first)
