Large allocations go back to the system when they are released

After spells of bodies a proxy kept 9 to 17 MB: the C library raises the size from which it maps an allocation by itself with each that is released (up to 32 MB), and keeps what is smaller in its heap. mallopt(3) sets that size to 256 KiB at the start of each process.

--- a/packages/process/meadowdock/process/runner.py
+++ b/packages/process/meadowdock/process/runner.py
@@ -21,8 +21,8 @@
 from meadowdock.process.run_record import RunRecord
 from meadowdock.runtime import Disk, Net, NoDisk, Runtime
 from meadowdock.runtime.address_space import (
+    prepare_allocator,
     reclaimer,
-    reserve_less_for_threads,
     usable_bytes,
 )
 from meadowdock.runtime.client_memory import MEGABYTE
@@ -121,7 +121,7 @@
     """
 
     def run(settings: ProcessSettings) -> None:
-        reserve_less_for_threads()
+        prepare_allocator()
         settings = with_memory_limit(with_descriptor_limit(settings))
         earlier = EarlySignals()
         earlier.watch()
--- a/packages/runtime/meadowdock/runtime/address_space.py
+++ b/packages/runtime/meadowdock/runtime/address_space.py
@@ -23,6 +23,9 @@
 HEADROOM_BYTES = 8 << 20  # more than the parsing of one read takes
 THREAD_STACK_BYTES = 2 << 20
 MALLOPT_ARENA_MAX = -8  # M_ARENA_MAX of mallopt(3)
+MALLOPT_MMAP_THRESHOLD = -3  # M_MMAP_THRESHOLD of mallopt(3)
+# An allocation of this size or more is given back to the system as soon as it is released.
+LARGE_ALLOCATION_BYTES = 256 << 10
 RECLAIM_INTERVAL_US = SECOND  # between two attempts to give memory back
 LOG_INTERVAL_US = SECOND
 
@@ -42,20 +45,33 @@
         return int(file.read().split()[0]) * resource.getpagesize()
 
 
-def reserve_less_for_threads() -> None:
-    """Give threads small stacks and the heap of the process; before the first thread is started."""
-    if LIMIT_BYTES is None:
-        return
-    threading.stack_size(THREAD_STACK_BYTES)
-    import ctypes  # takes memory that other processes don't need
+def prepare_allocator() -> None:
+    """Have large allocations given back when they are released; to be called before threads start.
+
+    By itself the C library raises the size from which it does so with each that is released, and keeps
+    what is smaller. With a limit of address space threads get small stacks and the heap of the process.
+    """
+    import ctypes
 
     library = ctypes.CDLL(None)
     mallopt = getattr(library, "mallopt", None)
     if mallopt is not None:  # not every C library has it
+        mallopt(MALLOPT_MMAP_THRESHOLD, LARGE_ALLOCATION_BYTES)
+    if LIMIT_BYTES is None:
+        return
+    threading.stack_size(THREAD_STACK_BYTES)
+    if mallopt is not None:
         mallopt(MALLOPT_ARENA_MAX, 1)
     reclaimer.trim = getattr(library, "malloc_trim", None)
 
 
+def is_out_of_memory(error: BaseException) -> bool:
+    """Return whether an error is, or was raised because of, an allocation that failed."""
+    return isinstance(error, MemoryError) or isinstance(
+        error.__cause__ or error.__context__, MemoryError
+    )
+
+
 def now_us() -> int:
     """Return the time on the machine's monotonic clock, also outside of the event loop."""
     return time.monotonic_ns() // 1000
--- a/tests/process/test_limits_of_memory.py
+++ b/tests/process/test_limits_of_memory.py
@@ -72,7 +72,7 @@
 import resource
 resource.setrlimit(resource.RLIMIT_AS, ({LIMIT_MB} << 20, {LIMIT_MB} << 20))
 from meadowdock.runtime import address_space
-address_space.reserve_less_for_threads()
+address_space.prepare_allocator()
 events = []
 address_space.reclaimer.report_to(lambda number, **fields: events.append((number, fields["why"])))
 gc.disable()
