Before a configuration, and without memory, a legal request gets 503 and not 413 or 400

Callers saw 413 for legal bodies just after a restart, as the default limits held until a configuration came (and on connections that were opened before it, for as long as they lived), and 400 for legal requests under a limit of address space, as an allocation that failed in a parser's callback counted as malformed.

The limits are read anew with each read; as long as there is no configuration, what is over the defaults gets 503 (no_manifest, Retry-After). A MemoryError in a parser is 503. Both mean never run.

--- a/packages/forwarding/meadowdock/forwarding/downstream.py
+++ b/packages/forwarding/meadowdock/forwarding/downstream.py
@@ -20,7 +20,7 @@
 from meadowdock.forwarding.byte_parts import Bytes, joined_parts
 from meadowdock.forwarding.call import Call, Outcome, Rejected, Served
 from meadowdock.forwarding.http import Request, RequestParser, status_line
-from meadowdock.forwarding.outcome_codes import NO_ANSWER
+from meadowdock.forwarding.outcome_codes import NO_ANSWER, NO_CONFIGURATION
 from meadowdock.runtime import SECOND, monotonic_us
 from meadowdock.runtime.client_memory import SMALL_BYTES
 from meadowdock.runtime.held_body import held
@@ -129,7 +129,8 @@
         self.end_reading_if_closing()
         if self.reading_ended:
             return
-        requests = self.requests
+        requests, gateway = self.requests, self.gateway
+        requests.limits, requests.are_limits_known = gateway.limits, gateway.table is not None
         requests.feed(data)
         self.is_costly = requests.step_count > COSTLY_STEPS
         has_completed = bool(requests.complete)
@@ -163,6 +164,8 @@
         """End the connection as what arrives can't be a request, or not now."""
         if status != HTTPStatus.SERVICE_UNAVAILABLE:
             self.end_with_error(status, "the request can't be read")
+        elif self.gateway.table is None:
+            self.end_with_error(status, NO_CONFIGURATION, RETRY_SOON)
         else:
             self.gateway.counts["refused.memory"] += 1
             self.end_with_error(status, NO_MEMORY, RETRY_SOON)
--- a/packages/forwarding/meadowdock/forwarding/http.py
+++ b/packages/forwarding/meadowdock/forwarding/http.py
@@ -14,7 +14,7 @@
 import httptools
 
 from meadowdock.forwarding.exceptions import RequestRejected
-from meadowdock.runtime.address_space import has_headroom
+from meadowdock.runtime.address_space import has_headroom, is_out_of_memory
 from meadowdock.runtime.body_buffer import BodyBuffer
 from meadowdock.runtime.client_memory import HEADER_LINE_MEMORY_BYTES
 from meadowdock.runtime.held_body import HeldBody
@@ -42,6 +42,7 @@
 }
 HEADER_LINE_OVERHEAD_BYTES = 4  # ": " and the line break
 PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
+OVER_LIMIT_STATUSES = (413, 431)
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -85,7 +86,8 @@
     Invariants: complete holds complete requests, in order; error_status is 0, or the status with
     which the connection ends, and then nothing more is fed; stalled_bytes were fed since the last
     feed that completed anything (a line, a part of a body or of a target); unparsed_bytes is an
-    upper bound of what the parser keeps of an incomplete line; step_count is how many lines, parts
+    upper bound of what the parser keeps of an incomplete line; are_limits_known is False as long as the
+    limits are not those of a configuration, so that nothing is refused for good because of them; step_count is how many lines, parts
     and requests the last feed held, a request counting for REQUEST_STEPS.
 
     :param mesh_header_names: the dialect's headers in lower case, which go to `mesh_headers` of a request
@@ -102,6 +104,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.complete: list[Request] = []
         self.error_status = 0
+        self.are_limits_known = True
         self.in_progress = False  # a request has begun to arrive and is not complete
         self.in_head = False
         self.head_size = self.trailer_size = self.stalled_bytes = self.unparsed_bytes = 0
@@ -135,8 +138,8 @@
             else:
                 # an upgrade request is answered like any other, but the connection is closed after it
                 self.complete[-1].keep_alive = False
-        except PARSER_ERRORS:
-            self.error_status = self.error_status or 400
+        except (*PARSER_ERRORS, MemoryError) as error:
+            self.error_status = self.error_status or (503 if is_out_of_memory(error) else 400)
         # the parser does not report an incomplete line, or empty ones, however long they are
         if self.has_advanced:
             self.stalled_bytes = 0
@@ -145,7 +148,7 @@
             self.stalled_bytes += len(data)
             self.unparsed_bytes += len(data)
         if self.stalled_bytes > self.limits.header_bytes:
-            self.error_status = self.error_status or 431
+            self.error_status = self.error_status or self.over_limit(431)
 
     def on_message_begin(self) -> None:
         """Start a new request."""
@@ -258,9 +261,13 @@
             )
         )
 
+    def over_limit(self, status: int) -> int:
+        """Return the status of what is over a limit."""
+        return status if self.are_limits_known else 503
+
     def reject(self, status: int) -> RequestRejected:
         """Set the status that ends the connection and return the exception to raise."""
-        self.error_status = status
+        self.error_status = self.over_limit(status) if status in OVER_LIMIT_STATUSES else status
         return RequestRejected(status)
 
 
--- a/packages/runtime/meadowdock/runtime/http_request_reader.py
+++ b/packages/runtime/meadowdock/runtime/http_request_reader.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from meadowdock.runtime.address_space import has_headroom
+from meadowdock.runtime.address_space import has_headroom, is_out_of_memory
 from meadowdock.runtime.client_memory import HEADER_LINE_MEMORY_BYTES
 from meadowdock.runtime.exceptions import InvalidHttpMessage
 from meadowdock.runtime.http_messages import (
@@ -62,6 +62,8 @@
 
 def callback_status(error: httptools.HttpParserCallbackError) -> int:
     """Return the status for an error that a callback has raised."""
+    if is_out_of_memory(error):
+        return HTTPStatus.SERVICE_UNAVAILABLE
     cause = error.__context__ or error.__cause__
     return cause.status if isinstance(cause, InvalidHttpMessage) else HTTPStatus.BAD_REQUEST
 
--- a/tests/forwarding/test_body_memory.py
+++ b/tests/forwarding/test_body_memory.py
@@ -271,3 +271,24 @@
         assert connection.unsent_size == 0
 
     trio.run(main)
+
+
+def test_a_body_over_the_default_limits_before_a_configuration_is_not_refused_for_good():
+    """Seen: 413 just after a restart for legal bodies of 30 MB (#50)."""
+    parser = RequestParser(DEFAULT_LIMITS, ())
+    parser.are_limits_known = False
+    parser.feed(HEAD + b"Content-Length: %d\r\n\r\n" % (DEFAULT_LIMITS.body_bytes + 1))
+    assert parser.error_status == 503
+
+
+@pytest.mark.parametrize("callback", ("on_url", "on_header", "on_body"))
+def test_memory_that_runs_out_while_parsing_is_no_fault_of_the_request(monkeypatch, callback):
+    """Seen: legal requests got 400 under a limit of address space (#50)."""
+
+    def fail(*_):
+        raise MemoryError
+
+    monkeypatch.setattr(RequestParser, callback, fail)
+    parser = RequestParser(DEFAULT_LIMITS, ())
+    parser.feed(HEAD + b"Content-Length: 3\r\n\r\nabc")
+    assert parser.error_status == 503
