What JSON is parsed into is bounded before it is parsed, and held in the account

Operators' machines saw mdconf end: one order of 16 MB without credentials, a list of {} or an object of many names, takes 24 times its bytes once it is parsed, orders of empty removals 155 times, and one character beyond Latin makes four bytes of each in a text (8 times, with the copy).

The bound is computed from the bytes alone: each value stands beside a comma, colon or opening bracket. It must fit in the account beside the body, which is not copied any more: 413 if it never does, 503 with Retry-After if not now, both before anything is run. The room is held until the order is answered. The same for plans, items of the product's own interface, calls with JSON bodies and endpoints' answers to these.

Measured before (x86_64, one run of 8 MiB each, private memory at its peak): 10 to 233 bytes for each such separator; the bound is 128, and 256 for orders, whose values become items.

--- a/packages/admin_http/meadowdock/admin_http/app.py
+++ b/packages/admin_http/meadowdock/admin_http/app.py
@@ -13,8 +13,10 @@
 from meadowdock.logs import events as log_events
 from meadowdock.runtime import monotonic_us
 from meadowdock.runtime.client_connections import ClientLimits
+from meadowdock.runtime.exceptions import NoMemoryNow, TooCostlyToParse
 
 HEALTH_CHECK_PATHS = ("/live", "/ready")
+RETRY_HEADERS = [(b"retry-after", b"1")]  # in seconds
 MAY_HAVE_RUN_HEADERS = [(b"md-verdict", b"may-have-run")]
 IDLE_POLL_S = 0.01
 
@@ -86,7 +88,8 @@
     async def handle(self, request: Request) -> Response:
         """Return the response of the request's handler.
 
-        Without a handler it is 404; if the body is too large, it is 413.
+        Without a handler it is 404; if the body is too large, or too costly to parse, it is 413, and 503 if
+        there is no memory for it now. None of them has run.
         """
         handler = self.table.find(request.method, request.path)
         if handler is None:
@@ -95,6 +98,11 @@
             return await handler(self.handler_context, request)
         except BodyTooLarge:
             return Response(413, {"code": "too_large", "verdict": "not-run"})
+        except TooCostlyToParse as cause:
+            detail = f"too many values or too long texts: {cause}"
+            return Response(413, {"code": "too_costly", "verdict": "not-run", "detail": detail})
+        except NoMemoryNow:
+            return Response(503, {"code": "no_memory", "verdict": "not-run"}, RETRY_HEADERS)
 
     def report_failure(self, error: Exception) -> None:
         """Log an error that ended a connection outside of a handler."""
--- a/packages/admin_http/meadowdock/admin_http/messages.py
+++ b/packages/admin_http/meadowdock/admin_http/messages.py
@@ -11,6 +11,7 @@
 
 JSON_TYPE = b"application/json"
 DEFAULT_BODY_MAX_BYTES = 16 << 20
+LARGE_BODY_BYTES = 64 << 10
 
 Headers = list[tuple[bytes, bytes]]  # names in lower case
 
@@ -34,8 +35,8 @@
         """Return the value of the first header with a name, given in lower case; None without one."""
         return next((v.decode("latin-1") for n, v in self.headers if n == name), None)
 
-    async def body(self, limit: int | None = None) -> bytes:
-        """Return the complete body, of at most `limit` bytes.
+    async def body(self, limit: int | None = None) -> bytes | bytearray:
+        """Return the complete body, of at most `limit` bytes; a large one is not copied.
 
         :raises BodyTooLarge: the content-length or the part read so far exceeds the limit.
         :raises ClientDisconnected: the connection ended first.
@@ -53,7 +54,7 @@
             if len(body) > limit:
                 raise BodyTooLarge
             if not event.get("more_body"):
-                return bytes(body)
+                return body if len(body) > LARGE_BODY_BYTES else bytes(body)
 
 
 @dataclass
--- a/packages/config_store/meadowdock/config_store/operator_api.py
+++ b/packages/config_store/meadowdock/config_store/operator_api.py
@@ -26,6 +26,7 @@
 from meadowdock.configuration.items import InvalidItems, VersionConflict
 from meadowdock.consensus import NoQuorum, OutcomeUnknown
 from meadowdock.runtime import SECOND, monotonic_us
+from meadowdock.runtime.json_memory import ITEM_VALUE_MEMORY_BYTES, room_to_parse
 
 if TYPE_CHECKING:
     from meadowdock.config_store.server import ConfigStore
@@ -107,14 +108,16 @@
 @operator_request(NoQuorum)
 async def create_plan(server: ConfigStore, request: Request) -> Response:
     """Plan a configuration on the current revision."""
+    body = await request.body(MAX_CONFIGURATION_BYTES)
     try:
-        planned = await server.plans.create(await request.body(MAX_CONFIGURATION_BYTES))
+        with room_to_parse(body, server.node.client_memory, ITEM_VALUE_MEMORY_BYTES):
+            planned = await server.plans.create(body)
     except InvalidConfiguration as invalid:
         return Response(422, {"code": "invalid", "errors": invalid.errors})
-    body = {"plan": planned.plan_id, "base": planned.base, "changes": planned.changes}
+    answer = {"plan": planned.plan_id, "base": planned.base, "changes": planned.changes}
     if planned.plan_id is None:
-        return Response(200, body)
-    return Response(200, {**body, "takes_effect": TAKES_EFFECT})
+        return Response(200, answer)
+    return Response(200, {**answer, "takes_effect": TAKES_EFFECT})
 
 
 @table.on("POST", "/confirm")
@@ -186,8 +189,15 @@
 @operator_request()
 async def change_items(server: ConfigStore, request: Request) -> Response:
     """Change either all items of a request, or none."""
+    body = await request.body(MAX_CONFIGURATION_BYTES)
+    with room_to_parse(body, server.node.client_memory, ITEM_VALUE_MEMORY_BYTES):
+        return await change_items_of(server, body)
+
+
+async def change_items_of(server: ConfigStore, body: bytes | bytearray) -> Response:
+    """Carry out the change of a body that there is room to parse."""
     try:
-        items = json.loads(await request.body(MAX_CONFIGURATION_BYTES))["items"]
+        items = json.loads(body)["items"]
     except (ValueError, KeyError, TypeError, RecursionError):
         return Response(400, {"code": "malformed", "detail": 'wanted: {"items": [...]}'})
     try:
--- a/packages/config_store/meadowdock/config_store/plans.py
+++ b/packages/config_store/meadowdock/config_store/plans.py
@@ -97,7 +97,7 @@
         """Return the deadline of one step of an operator's request that begins now."""
         return monotonic_us() + self.server.operator_timing.change_us
 
-    async def create(self, body: bytes) -> PlannedChange:
+    async def create(self, body: bytes | bytearray) -> PlannedChange:
         """Plan a configuration, given as JSON, on the current revision.
 
         :raises InvalidConfiguration: with all violations that were found
@@ -122,7 +122,7 @@
         self.server.node.log(log_events.PLAN_STORED, plan=plan_id, base=current.version)
         return PlannedChange(plan_id, current.version, changes)
 
-    async def checked_configuration(self, body: bytes) -> dict[str, Any]:
+    async def checked_configuration(self, body: bytes | bytearray) -> dict[str, Any]:
         """Parse and validate the configuration in a request's body. Raises InvalidConfiguration."""
         # imported here, as a daemon without plans doesn't need it
         from returns.pipeline import is_successful
--- a/packages/configuration/meadowdock/configuration/validation.py
+++ b/packages/configuration/meadowdock/configuration/validation.py
@@ -35,12 +35,12 @@
 RESERVED_PREFIXES = ("md", "live", "ready")  # first path segments reserved for the mesh itself
 
 
-def validate_configuration(data: bytes) -> Result[ConfigurationMap, list[str]]:
+def validate_configuration(data: bytes | bytearray) -> Result[ConfigurationMap, list[str]]:
     """Return the configuration with its defaults filled in, or all errors."""
     return parse_json(data).bind(check_schema).bind(check_references)
 
 
-def parse_json(data: bytes) -> Result[ConfigurationMap, list[str]]:
+def parse_json(data: bytes | bytearray) -> Result[ConfigurationMap, list[str]]:
     """Parse JSON strictly: duplicate keys, NaN and infinities are errors.
 
     >>> parse_json(b'{"a": 1, "a": 2}')
--- a/packages/proxy/meadowdock/proxy/forwarder.py
+++ b/packages/proxy/meadowdock/proxy/forwarder.py
@@ -26,6 +26,8 @@
 from meadowdock.proxy.slot_queue import SlotQueue
 from meadowdock.rpc import ConnectionFailed, Rejected
 from meadowdock.runtime import HttpConnectionFailed, deadline_scope, monotonic_us
+from meadowdock.runtime.exceptions import NoMemoryNow, TooCostlyToParse
+from meadowdock.runtime.json_memory import room_to_parse
 from meadowdock.runtime.slab import Slab
 
 if TYPE_CHECKING:
@@ -372,13 +374,14 @@
             on_first_byte,
         )
         try:
-            headers = check_endpoint_response(endpoint, service, call.id, status, headers, body)
-        except InvalidEndpointResponse as invalid:
+            with room_to_parse(body, self.node.client_memory):
+                headers = check_endpoint_response(endpoint, service, call.id, status, headers, body)
+        except (InvalidEndpointResponse, TooCostlyToParse, NoMemoryNow) as invalid:
             await connection.close()
             self.node.log(
                 log_events.ENDPOINT_CHECK_FAILED,
                 address=endpoint.address,
-                why=str(invalid),
+                why=str(invalid) or "no memory to parse it",
                 call=call.id,
             )
             raise EndpointOutcomeUnknown("bad_answer", "answer.bad") from invalid
--- a/packages/proxy/meadowdock/proxy/request_handling.py
+++ b/packages/proxy/meadowdock/proxy/request_handling.py
@@ -21,6 +21,7 @@
 from meadowdock.proxy.idempotency_keys import KeyRejected
 from meadowdock.proxy.registration import NAME_FORMAT
 from meadowdock.runtime import MILLISECOND, SECOND, fingerprint, monotonic_us
+from meadowdock.runtime.json_memory import room_to_parse
 
 if TYPE_CHECKING:
     from meadowdock.proxy.server import ProxyServer
@@ -75,7 +76,9 @@
         raise RequestRejected(code)
     body = await request.body(routing_table.services[route.service]["body_max"])
     key, timeout_us, lookup_only = read_call_headers(request)
-    if body and not is_json(body):
+    with room_to_parse(body, server.node.client_memory):
+        is_valid = not body or is_json(body)
+    if not is_valid:
         raise RequestRejected("malformed", "body is no JSON")
     if not request.query.isascii():
         raise RequestRejected("malformed", "query")
@@ -87,7 +90,7 @@
         path=request.path,
         query=request.query,
         headers=end_to_end_headers(request.headers),
-        body=body,
+        body=bytes(body),
         route=route,
         version=routing_table.version,
         deadline=monotonic_us() + timeout_us,
@@ -146,7 +149,7 @@
     return allowed_us
 
 
-def is_json(body: bytes) -> bool:
+def is_json(body: bytes | bytearray) -> bool:
     """Return whether a body is JSON."""
     try:
         json.loads(body)
--- a/packages/runtime/meadowdock/runtime/exceptions.py
+++ b/packages/runtime/meadowdock/runtime/exceptions.py
@@ -28,3 +28,11 @@
 
 class ConnectionEnded(Exception):
     """The client closed its connection, or the connection was idle for too long."""
+
+
+class TooCostlyToParse(Exception):
+    """A body would take more memory once it is parsed than the process has for clients."""
+
+
+class NoMemoryNow(Exception):
+    """There is no memory for a request now; it has not run."""
--- a/tests/crowds/test_large_orders.py
+++ b/tests/crowds/test_large_orders.py
@@ -82,3 +82,14 @@
         body = ORDERS["sound routes"](300 * 1000)
         assert send_orders(running, body, 1) == {200: 1}
         running.check("mdconf")
+
+
+def test_orders_just_below_the_bound_are_taken_and_end_no_process(tmp_path):
+    """As large an order as there is room for, alone and then from several operators at once."""
+    with deployment(tmp_path, limits=MACHINE_LIMITS) as running:
+        body = ORDERS["sound routes"](3 << 20)
+        assert send_orders(running, body, 1) == {200: 1}
+        send_orders(running, body, 3)
+        for role in running.watched:
+            running.check(role)
+        check_orders(running)
--- a/tests/platform/test_platform_control.py
+++ b/tests/platform/test_platform_control.py
@@ -4,12 +4,14 @@
 
 import sys
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 import trio
 
 from meadowdock.config_store.exceptions import QuorumUnreachable
 from meadowdock.consensus import NoQuorum, OutcomeUnknown
+from meadowdock.runtime.client_memory import ClientMemory
 
 sys.path.append(str(Path(__file__).parents[2] / "platform"))
 from platform_adapter import operator_api  # noqa: E402
@@ -32,6 +34,7 @@
 
     def __init__(self, error):
         self.error = error
+        self.node = SimpleNamespace(client_memory=ClientMemory(None))
 
     async def change_items(self, items):
         raise self.error
