--- a/tests/platform/test_platform_items.py
+++ b/tests/platform/test_platform_items.py
@@ -14,6 +14,7 @@
 from meadowdock.configuration.items import InvalidItems, current_items, merge_items, validate_items
 from meadowdock.consensus import NoQuorum, OutcomeUnknown
 from meadowdock.proxy.exceptions import RegistrationDenied
+from meadowdock.runtime.client_memory import ClientMemory
 
 sys.path.insert(0, str(Path(__file__).parents[2] / "platform"))
 
@@ -182,7 +183,9 @@
 
     def __init__(self, error_type=None):
         self.store = SimpleNamespace(membership=object())
-        self.node = SimpleNamespace(runtime=SimpleNamespace(offload=self.offload))
+        self.node = SimpleNamespace(
+            runtime=SimpleNamespace(offload=self.offload), client_memory=ClientMemory(None)
+        )
         self.stored, self.error_type, self.offloaded = {}, error_type, 0
 
     async def offload(self, work, *args):
