--- a/tests/support/body_crowds.py
+++ b/tests/support/body_crowds.py
@@ -11,11 +11,12 @@
 import itertools
 import json
 import os
+import random
 import socket
 import threading
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -23,6 +24,7 @@
 from faulty_endpoints import PIECE_BYTES, AnswerReader, RawEndpoint, Received, request_bytes
 
 from meadowdock.logs import events as log_events
+from meadowdock.simulator.standin.endless import OK_LINE
 
 PREFIXES = {"beside": "/r/", "elsewhere": "/l/", "nowhere": "/n/", "full": "/f/"}
 SERVICES = {"beside": "desk", "elsewhere": "ledger", "nowhere": "nowhere", "full": "full"}
@@ -33,10 +35,10 @@
 MARGIN_S = 5  # after a deadline, for an answer to be read
 
 
-def head_of(path: str, deadline_s: float, framing: bytes) -> bytes:
+def head_of(path: str, deadline_s: float, framing: bytes, method: str = "POST") -> bytes:
     """Return the head of a request with a body."""
     return (
-        f"POST {path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {os.urandom(8).hex()}\r\n"
+        f"{method} {path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {os.urandom(8).hex()}\r\n"
         f"Deadline-Remaining: {int(deadline_s * 1000)}\r\n"
     ).encode() + framing
 
@@ -84,19 +86,77 @@
         yield held[:-1]
 
 
+class HeadEndpoint(RawEndpoint):
+    """An endpoint that answers or rests as soon as it has read the head of a request with a body.
+
+    :ivar answers_early: it answers before it reads the body; otherwise it reads nothing further.
+    """
+
+    def __init__(self, address: tuple[str, int], instance: str, answers_early: bool) -> None:
+        self.answers_early = answers_early
+        self.ended = threading.Event()
+        super().__init__(address, instance)
+
+    def serve(self, sock: socket.socket) -> None:
+        """Serve one connection."""
+        with contextlib.suppress(OSError), sock:
+            reader = AnswerReader(sock)
+            while (lines := reader.read_until(b"\r\n\r\n")) is not None:
+                self.serve_head(sock, reader, lines)
+        self.connections.discard(sock)
+
+    def serve_head(self, sock: socket.socket, reader: AnswerReader, lines: bytes) -> None:
+        """Serve the request of a head."""
+        first, *fields = lines.split(b"\r\n")
+        by_name = {
+            name.strip().lower(): value.strip()
+            for name, _, value in (field.partition(b":") for field in fields)
+        }
+        length = int(by_name.get(b"content-length", b"0"))
+        if first.startswith(b"GET /health "):
+            sock.sendall(
+                OK_LINE
+                + b"Instance-Id: %s\r\nServer-Load: 0,0,16\r\n" % self.instance.encode()
+                + b"Content-Length: 0\r\n\r\n"
+            )
+            return
+        self.runs += 1
+        if length and not self.answers_early:
+            self.ended.wait(OCCUPIED_S)
+            return
+        self.answer(sock, by_name.get(b"attempt-id", b""))
+        reader.skip(length)
+
+    def close(self) -> None:
+        """Stop listening, and end all connections."""
+        self.ended.set()
+        super().close()
+
+
 class BodyDeployment(Deployment):
-    """A core machine and three sidecars, whose clients send bodies."""
+    """A core machine and three sidecars, whose clients send bodies.
 
-    def __init__(self, folder: Path, limits: Limits) -> None:
+    :param head_endpoints: whether the endpoint of a service answers early, for those services whose
+        endpoint is a HeadEndpoint.
+    """
+
+    def __init__(
+        self, folder: Path, limits: Limits, head_endpoints: Mapping[str, bool] | None = None
+    ) -> None:
         super().__init__(folder, limits=limits)
         self.endpoint.server_close()  # of the simple deployment
         net = self.core.rpartition(".")[0]
         self.second, self.third = f"{net}.12", f"{net}.13"
         self.hosts = {"desk": self.side, "ledger": self.second, "full": self.third}
-        self.endpoints = {
-            service: RawEndpoint((host, APP), f"i-{service}")
-            for service, host in self.hosts.items()
-        }
+        self.endpoints: dict[str, RawEndpoint] = {}
+        for service, host in self.hosts.items():
+            address, instance = (host, APP), f"i-{service}"
+            answers_early = (head_endpoints or {}).get(service)
+            self.endpoints[service] = (
+                RawEndpoint(address, instance)
+                if answers_early is None
+                else HeadEndpoint(address, instance, answers_early)
+            )
         self.capacities = {"desk": 16, "ledger": 16, "full": 1}
         self.sequence_numbers = itertools.count(1)
 
@@ -188,12 +248,14 @@
             status, size, is_whole = AnswerReader(sock, PIECE_BYTES).read()
         return Received(status, size, is_whole, time.monotonic() - started)
 
-    def send_whole(self, place: str, form: BodyForm, deadline_s: float) -> int:
+    def send_whole(
+        self, place: str, form: BodyForm, deadline_s: float, method: str = "POST"
+    ) -> int:
         """Send a whole body on a connection of its own; return the status, 0 without an answer."""
         with contextlib.suppress(OSError), socket.socket() as sock:
             sock.settimeout(deadline_s + MARGIN_S)
             sock.connect((self.side, OUTBOUND))
-            sock.sendall(head_of(PREFIXES[place] + "x", deadline_s, form.framing))
+            sock.sendall(head_of(PREFIXES[place] + "x", deadline_s, form.framing, method))
             # what the other side answers before it has read all is read as well
             with contextlib.suppress(OSError):
                 for part in form.parts():
@@ -237,9 +299,11 @@
 
 
 @contextlib.contextmanager
-def body_deployment(folder: Path, limits: Limits) -> Iterator[BodyDeployment]:
+def body_deployment(
+    folder: Path, limits: Limits, head_endpoints: Mapping[str, bool] | None = None
+) -> Iterator[BodyDeployment]:
     """Run a deployment that serves, whose clients send bodies."""
-    running = BodyDeployment(folder, limits)
+    running = BodyDeployment(folder, limits, head_endpoints)
     try:
         running.begin()
         yield running
@@ -286,3 +350,34 @@
                 self.statuses[status] += 1
             else:
                 self.open.append(self.running.send_short(self.place, self.form, self.deadline_s))
+
+
+class Passers:
+    """Clients that come, send a part of a body of random size, and leave, until they are stopped."""
+
+    def __init__(self, running: BodyDeployment, place: str, form: BodyForm, seed: int) -> None:
+        self.running, self.place, self.form = running, place, form
+        self.random = random.Random(seed)
+
+    def run(self, clients: int, rounds: int) -> None:
+        """Have clients come and go."""
+        threads = [threading.Thread(target=self.pass_by, args=(rounds,)) for _ in range(clients)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def pass_by(self, rounds: int) -> None:
+        """Send parts of bodies, one after another; some of them are whole."""
+        for _ in range(rounds):
+            left = self.random.randint(0, self.form.size + LARGE_CHUNK_BYTES)
+            with contextlib.suppress(OSError), socket.socket() as sock:
+                sock.settimeout(MARGIN_S)
+                sock.connect((self.running.side, OUTBOUND))
+                path = PREFIXES[self.place] + "x"
+                sock.sendall(head_of(path, MARGIN_S, self.form.framing))
+                for part in self.form.parts():
+                    if left <= 0:
+                        break
+                    sock.sendall(part[:left])
+                    left -= len(part)
