A soak of clients with large bodies beside restarts, reloads and changes: mdsoak bodies

Whole bodies (audited like all requests), bodies a byte short in three forms, and whole ones for a service without an endpoint, from up to four clients at up to three hosts at once, beside the planned work of the restart soak.

--- a/packages/soak/meadowdock/soak/__main__.py
+++ b/packages/soak/meadowdock/soak/__main__.py
@@ -11,6 +11,7 @@
 import fire
 
 from meadowdock.soak.answer_soak import run_answer_soak
+from meadowdock.soak.body_soak import run_body_soak
 from meadowdock.soak.restart_soak import run_restart_soak
 from meadowdock.soak.soak import Plan, Result, run_soak
 from meadowdock.soak.start_soak import run_start_soak
@@ -39,7 +40,7 @@
 
 
 class Commands:
-    """Each soak runs on a loopback network of its own, 127.66.x.* to 127.69.x.*, and ends its processes."""
+    """Each soak runs on a loopback network of its own, 127.66.x.* to 127.70.x.*, and ends its processes."""
 
     def run(
         self,
@@ -112,6 +113,25 @@
 
         run_seeds(soak, seeds, first, "127.69", folder)
 
+    def bodies(
+        self,
+        seeds: int = 10,
+        first: int = 1,
+        seconds: float = 10.0,
+        troubles: int = 10,
+        proxies: int = 4,
+        core: int = 3,
+        calls_per_s: float = 60.0,
+        folder: str | None = None,
+    ) -> None:
+        """Run one soak of clients with large bodies per seed; the exit status is 1 after any violation."""
+        plan = Plan(seconds, troubles, calls_per_s)
+
+        def soak(seed: int, net: str, run_folder: str) -> Result:
+            return run_body_soak(seed, plan, net, run_folder, proxies, core)
+
+        run_seeds(soak, seeds, first, "127.70", folder)
+
 
 def main() -> None:
     """Run the command line."""
