More than 200 tests of one process find a loopback network each

A process's tests each reserve a network until it ends, and free_net tried 200. It tries 10,000 of the 62,500 now.

--- a/tests/support/fleets.py
+++ b/tests/support/fleets.py
@@ -12,6 +12,7 @@
 RESERVATION_ADDRESS = 254, 7399
 FLEET_HOSTS = 1, 11, 12
 FLEET_PORTS = 7400, 7401, 7410, 7411, 7420, 7421, 8000
+NETWORKS_TRIED = 10_000  # each test of a process takes one, and keeps it until the process ends
 reservations = []  # listening sockets of this process, open until it ends
 
 
@@ -21,7 +22,7 @@
     Nobody listens on the fleet's ports in it. It must be reserved because tests run in several
     processes, and the ports are free again until the fleet listens on them.
     """
-    for number in range(os.getpid(), os.getpid() + 200):
+    for number in range(os.getpid(), os.getpid() + NETWORKS_TRIED):
         net = f"127.{1 + number % 250}.{1 + number // 250 % 250}"
         host, port = RESERVATION_ADDRESS
         with contextlib.ExitStack() as listeners:
@@ -39,7 +40,7 @@
                 continue
             reservations.append(socket.socket(fileno=reservation.detach()))
             return net
-    raise RuntimeError("no free loopback network after 200 tries")
+    raise RuntimeError(f"no free loopback network after {NETWORKS_TRIED} tries")
 
 
 @contextlib.contextmanager
